--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/lib/src/coordination/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/lib/src/state/time.rs
@@ -0,0 +1,88 @@
+//! The clock interface and its implementations.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+/// Bound on the difference between the wall clocks of any two instances or backend servers.
+///
+/// Only absolute deadlines that backend servers enforce depend on it.
+pub const MAX_CLOCK_SKEW: Duration = Duration::from_millis(100);
+
+/// Reads time. Everything outside this module takes time as an argument or through this trait.
+pub trait Clock: Send + Sync {
+    /// Returns monotonic time.
+    fn now(&self) -> Instant;
+
+    /// Returns wall-clock time.
+    fn wall(&self) -> SystemTime;
+}
+
+/// The clock of the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that moves only when told to, for tests.
+#[derive(Debug)]
+pub struct ManualClock {
+    start: Instant,
+    wall_start: SystemTime,
+    elapsed: Mutex<Duration>,
+}
+
+impl ManualClock {
+    /// Creates a clock whose wall time starts at `wall_start`.
+    #[must_use]
+    pub fn new(wall_start: SystemTime) -> Self {
+        Self {
+            start: Instant::now(),
+            wall_start,
+            elapsed: Mutex::new(Duration::ZERO),
+        }
+    }
+
+    /// Moves the clock forward.
+    pub fn advance(&self, by: Duration) {
+        *self.elapsed.lock().unwrap_or_else(PoisonError::into_inner) += by;
+    }
+
+    fn elapsed(&self) -> Duration {
+        *self.elapsed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.start + self.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.wall_start + self.elapsed()
+    }
+}
+
+/// Converts a wall-clock time to milliseconds since the Unix epoch; earlier times become 0.
+#[must_use]
+pub fn unix_millis(time: SystemTime) -> u64 {
+    let since_epoch = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Converts milliseconds since the Unix epoch to a wall-clock time.
+#[must_use]
+pub fn from_unix_millis(millis: u64) -> SystemTime {
+    UNIX_EPOCH + Duration::from_millis(millis)
+}
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, for tests and demonstrations.
