--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Serialised messages, converted from and to the state types.
+
+pub mod control;
