--- a/daemon/src/query.rs
+++ b/daemon/src/query.rs
@@ -70,7 +70,7 @@
             service: request.service,
             version: service.serving.clone(),
             route: request.route,
-            snapshot: None,
+            snapshot: camphorhold::state::id::SnapshotId(1),
             partition: service.partition,
             query: request.query,
             deadline_unix_ms: unix_millis(SystemClock.wall() + limit),
@@ -117,7 +117,7 @@
 ) -> (
     u32,
     Option<camphorhold::state::id::SnapshotId>,
-    Vec<Box<str>>,
+    Vec<camphorhold::protocol::leaf::Hit>,
 ) {
     let (mut answered, mut snapshot, mut hits) = (0, None, Vec::new());
     let merge = async {
@@ -125,7 +125,7 @@
             let Ok(answer) = part.result else { continue };
             if answer.status == Status::Ok && answer.complete {
                 answered += 1;
-                snapshot = answer.snapshot;
+                snapshot = Some(answer.snapshot);
                 hits.extend(answer.hits);
             }
         }
--- a/lib/src/protocol/caller.rs
+++ b/lib/src/protocol/caller.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::protocol::leaf::Hit;
 use crate::state::id::IdempotencyKey;
 use crate::state::id::InvalidName;
 use crate::state::id::RequestId;
@@ -235,8 +236,8 @@
     pub snapshot: Option<SnapshotId>,
     /// The shards covered.
     pub coverage: Coverage,
-    /// The merged hits.
-    pub hits: Vec<Box<str>>,
+    /// The merged hits, best first.
+    pub hits: Vec<Hit>,
     /// Milliseconds that the entry instance spent on the request.
     pub server_time_ms: f64,
 }
--- a/lib/src/protocol/leaf.rs
+++ b/lib/src/protocol/leaf.rs
@@ -7,7 +7,6 @@
 use crate::state::id::PartitionId;
 use crate::state::id::RequestId;
 use crate::state::id::Route;
-use crate::state::id::ServerIncarnation;
 use crate::state::id::ServiceName;
 use crate::state::id::ShardId;
 use crate::state::id::SnapshotId;
@@ -22,6 +21,10 @@
 /// The largest answer of a backend server that an instance reads, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// A snapshot that no server holds. A request for it is answered with
+/// [`Status::WrongSnapshot`] and the snapshots held, without being started.
+pub const NO_SNAPSHOT: SnapshotId = SnapshotId(0);
+
 /// A request to a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Search {
@@ -37,8 +40,8 @@
     pub route: Route,
     /// The shard asked for.
     pub shard: ShardId,
-    /// The pinned snapshot. Absent for a request that asks which snapshots the server holds.
-    pub snapshot: Option<SnapshotId>,
+    /// The pinned snapshot. [`NO_SNAPSHOT`] asks which snapshots the server holds.
+    pub snapshot: SnapshotId,
     /// The pinned partition map.
     pub partition: PartitionId,
     /// The query text.
@@ -56,12 +59,11 @@
     /// The correlation of the request answered.
     pub correlation: Box<str>,
     /// The run of the server process.
-    pub incarnation: ServerIncarnation,
+    pub incarnation: u64,
     /// The shard served.
     pub shard: ShardId,
-    /// The snapshot served.
-    #[serde(default)]
-    pub snapshot: Option<SnapshotId>,
+    /// The snapshot served, or the one asked for if the request was not started.
+    pub snapshot: SnapshotId,
     /// The partition map served.
     pub partition: PartitionId,
     /// What became of the request.
@@ -72,12 +74,21 @@
     pub complete: bool,
     /// What was found.
     #[serde(default)]
-    pub hits: Vec<Box<str>>,
+    pub hits: Vec<Hit>,
     /// The snapshots that the server holds.
     #[serde(default)]
     pub holds: Vec<SnapshotId>,
 }
 
+/// One document found.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hit {
+    /// The document.
+    pub document: Box<str>,
+    /// Its score; higher is better.
+    pub score: u32,
+}
+
 /// What became of a request at a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/lib/src/protocol/peer.rs
+++ b/lib/src/protocol/peer.rs
@@ -53,7 +53,7 @@
     /// The kind of request.
     pub route: Route,
     /// The pinned snapshot.
-    pub snapshot: Option<SnapshotId>,
+    pub snapshot: SnapshotId,
     /// The pinned partition map.
     pub partition: PartitionId,
     /// The query text.
