coordination: add the decisions of leaf, key and fingerprint owners

Cause: every later part (transport, replica choice, shutdown of the daemon) needs the interface of the owner's state machines.

Change: adds warmth, limits with queue and connection pool, drain signals, the composite leaf dispatch, the replay window with handover, the canary registry and the shutdown states. All take typed input and time and return typed actions.

--- /dev/null
+++ b/lib/src/coordination/call.rs
@@ -0,0 +1,63 @@
+//! Names of calls and connections at the owner of a leaf, and why a call was not run.
+
+use std::fmt;
+
+use thiserror::Error;
+
+use super::drain;
+
+/// Identifies one leaf call at its owner. Never reused while the owner lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// Identifies one connection to a leaf at its owner. Never reused while the owner lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// Identifies who submitted a call, for fairness between callers: an entry instance or a tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Caller(pub u64);
+
+impl fmt::Display for CallId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl fmt::Display for ConnectionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Why a call was not run. No backend server has started the call.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum NotRun {
+    /// The evidence that this instance owns the leaf has expired or is not yet complete.
+    #[error("not run: configuration currency lost or ownership not ready")]
+    OwnershipDoubtful,
+    /// Another instance owns the leaf.
+    #[error("not run: this instance does not own the leaf")]
+    NotOwner,
+    /// The leaf or its failure domain is leaving.
+    #[error("not run: the backend server is leaving (signal: {0})")]
+    Draining(drain::Source),
+    /// The queue in front of the leaf is full.
+    #[error("not run: the queue of the backend server is full")]
+    QueueFull,
+    /// The call waited in the queue as long as permitted.
+    #[error("not run: waited too long for the backend server")]
+    QueueTimeout,
+    /// The leaf cannot answer before the deadline.
+    #[error("not run: the deadline is too close")]
+    DeadlineTooClose,
+    /// The caller withdrew the call while it was queued.
+    #[error("not run: cancelled by the caller")]
+    Cancelled,
+    /// The backend server shed the call.
+    #[error("not run: shed by the backend server")]
+    Shed,
+    /// The backend server answered that it did not start the call.
+    #[error("not run: not started by the backend server")]
+    NotStarted,
+}
--- /dev/null
+++ b/lib/src/coordination/dispatch/answer.rs
@@ -0,0 +1,144 @@
+//! What the owner of a leaf does with answers and with changes of connections.
+
+use super::Action;
+use super::Answer;
+use super::Failure;
+use super::Leaf;
+use super::Status;
+use super::Time;
+use crate::coordination::call::CallId;
+use crate::coordination::call::ConnectionId;
+use crate::coordination::call::NotRun;
+use crate::coordination::drain::Signal;
+use crate::coordination::drain::Source;
+use crate::coordination::limit::pool::Request;
+use crate::coordination::limit::pool::Use;
+use crate::coordination::warmth;
+
+impl Leaf {
+    pub(super) fn answered(&mut self, answer: Answer, time: Time, actions: &mut Vec<Action>) {
+        let Some(connection) = self.pool.get_mut(answer.connection) else {
+            return;
+        };
+        match connection.used {
+            Use::Closing => return,
+            Use::Busy(request) if request.call == answer.call => {
+                connection.used = Use::Idle;
+                connection.incarnation = Some(answer.incarnation);
+                self.learn(&answer, &request, time);
+                if !request.ended {
+                    actions.push(end(&answer));
+                }
+            }
+            // The connection no longer pairs answers with requests.
+            _ => return self.give_up(answer.connection, actions),
+        }
+        let Answer {
+            incarnation, holds, ..
+        } = answer;
+        actions.push(Action::Observed { incarnation, holds });
+    }
+
+    fn learn(&mut self, answer: &Answer, request: &Request, time: Time) {
+        let good = answer.whole && answer.status == Status::Ok;
+        let others = self.in_flight() > 0;
+        let evidence = warmth::Answer {
+            epoch: request.epoch,
+            incarnation: answer.incarnation,
+            temperature: answer.temperature,
+            good,
+        };
+        self.warmth.answered(evidence, others, time.now);
+        match answer.status {
+            Status::Shed => self.in_flight.shed(time.now),
+            Status::Draining => self.drain.take(Signal::Leaving(Source::Server), time.now),
+            Status::Ok => {
+                self.in_flight.answered();
+                let took = time.now.saturating_duration_since(request.sent);
+                self.fastest.answered(took);
+            }
+            Status::NotStarted | Status::WrongSnapshot | Status::Failed => {}
+        }
+    }
+
+    /// Closes a connection that broke the protocol.
+    fn give_up(&mut self, id: ConnectionId, actions: &mut Vec<Action>) {
+        let Some(connection) = self.pool.get_mut(id) else {
+            return;
+        };
+        if let Use::Busy(request) = connection.used {
+            self.orphans.push(request.deadline);
+            fail(&request, Failure::CrossedAnswer, actions);
+        }
+        connection.used = Use::Closing;
+        let connection = id;
+        actions.push(Action::CloseConnection { connection });
+    }
+
+    pub(super) fn cancel_answered(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.pool.get_mut(id)
+            && matches!(connection.used, Use::Cancelling { .. })
+        {
+            connection.used = Use::Idle;
+        }
+    }
+
+    pub(super) fn opened(&mut self, id: ConnectionId, actions: &mut Vec<Action>) {
+        self.pool.opened();
+        let first = !self.pool.any_open();
+        match self.pool.get_mut(id) {
+            Some(connection) if matches!(connection.used, Use::Opening { .. }) => {
+                connection.used = Use::Idle;
+                if first {
+                    self.warmth.doubt();
+                }
+            }
+            Some(_) => {}
+            None => actions.push(Action::CloseConnection { connection: id }),
+        }
+    }
+
+    /// Takes the end of a connection. If it was not ordered, the server may have restarted.
+    pub(super) fn lost(&mut self, id: ConnectionId, actions: &mut Vec<Action>) {
+        let Some(connection) = self.pool.remove(id) else {
+            return;
+        };
+        if connection.used == Use::Closing {
+            return;
+        }
+        self.warmth.doubt();
+        if let Use::Busy(request) = connection.used {
+            self.orphans.push(request.deadline);
+            actions.push(Action::SuspectCrash { call: request.call });
+            fail(&request, Failure::ResetAfterSent, actions);
+        }
+    }
+}
+
+fn fail(request: &Request, cause: Failure, actions: &mut Vec<Action>) {
+    if !request.ended {
+        let call = request.call;
+        actions.push(Action::Fail { call, cause });
+    }
+}
+
+/// Returns the action that ends an answered call.
+fn end(answer: &Answer) -> Action {
+    let Answer {
+        call,
+        status,
+        whole,
+        ..
+    } = *answer;
+    let refuse = |call: CallId, reason| Action::Refuse { call, reason };
+    match status {
+        Status::Shed => refuse(call, NotRun::Shed),
+        Status::Draining => refuse(call, NotRun::Draining(Source::Server)),
+        Status::NotStarted => refuse(call, NotRun::NotStarted),
+        Status::Ok | Status::WrongSnapshot | Status::Failed => Action::Complete {
+            call,
+            status,
+            whole,
+        },
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/idempotency/handover.rs
@@ -0,0 +1,119 @@
+//! Handing a replay window from an owner that leaves gracefully to the next.
+
+use std::time::SystemTime;
+
+use thiserror::Error;
+
+use super::Entry;
+use super::Outcome;
+use super::Window;
+use super::length;
+use crate::state::id::Generation;
+use crate::state::id::IdempotencyKey;
+use crate::state::id::InstanceId;
+
+/// The complete window of an owner that runs no key of the set any more.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handover {
+    /// The owner that released the window.
+    pub owner: InstanceId,
+    /// The generation of the release: the first one in which another instance owns the set.
+    pub generation: Generation,
+    /// From when on the window is complete.
+    pub complete_since: SystemTime,
+    /// All keys with their issue times and outcomes.
+    pub entries: Vec<(IdempotencyKey, SystemTime, Outcome)>,
+}
+
+/// Why a handover is not taken. The importing owner goes on without it, and refuses the keys issued
+/// before its own start as unknown.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum ImportError {
+    /// It does not come from the owner directly before this one.
+    #[error("the replay window comes from {found}, but the previous owner was {expected}")]
+    WrongOwner {
+        /// The previous owner.
+        expected: InstanceId,
+        /// The sender.
+        found: InstanceId,
+    },
+    /// It was released at another generation than the one in which this owner began.
+    #[error("the replay window was released at generation {found}, but is needed at {expected}")]
+    WrongGeneration {
+        /// The generation in which this owner began.
+        expected: Generation,
+        /// The generation of the release.
+        found: Generation,
+    },
+    /// It does not fit.
+    #[error("the replay window does not fit into the memory set aside for it")]
+    TooLarge,
+    /// A window was imported before, or this one was handed over.
+    #[error("the replay window was imported or handed over before")]
+    TooLate,
+}
+
+impl Window {
+    /// Closes the window and returns it for the next owner. Requests still running have an unknown
+    /// outcome from here on. Earlier outcomes are still replayed; new keys are refused.
+    pub fn release(&mut self, generation: Generation) -> Handover {
+        self.released = true;
+        let entries = self.entries.iter().map(|(key, entry)| {
+            let outcome = entry.outcome.clone().unwrap_or(Outcome::Unknown);
+            (key.clone(), entry.issued, outcome)
+        });
+        Handover {
+            owner: self.owner,
+            generation,
+            complete_since: self.complete_since,
+            entries: entries.collect(),
+        }
+    }
+
+    /// Takes the window of the previous owner. Keys that this window already holds keep their own
+    /// entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and changes nothing, unless the handover is the complete window of
+    /// `previous`, released at the generation in which this owner began.
+    pub fn import(&mut self, handover: Handover, previous: InstanceId) -> Result<(), ImportError> {
+        if handover.owner != previous {
+            return Err(ImportError::WrongOwner {
+                expected: previous,
+                found: handover.owner,
+            });
+        }
+        if handover.generation != self.generation {
+            return Err(ImportError::WrongGeneration {
+                expected: self.generation,
+                found: handover.generation,
+            });
+        }
+        if self.imported || self.released {
+            return Err(ImportError::TooLate);
+        }
+        let answers = handover.entries.iter().map(|(.., outcome)| length(outcome));
+        let bytes = answers.fold(self.bytes, u64::saturating_add);
+        let keys = self.entries.len() + handover.entries.len();
+        if keys > self.capacity.keys || bytes > self.capacity.bytes.0 {
+            return Err(ImportError::TooLarge);
+        }
+        for (key, issued, outcome) in handover.entries {
+            self.adopt(key, issued, outcome);
+        }
+        self.complete_since = self.complete_since.min(handover.complete_since);
+        self.imported = true;
+        Ok(())
+    }
+
+    fn adopt(&mut self, key: IdempotencyKey, issued: SystemTime, outcome: Outcome) {
+        if self.entries.contains_key(&key) {
+            return;
+        }
+        self.bytes += length(&outcome);
+        self.next_expiry = self.next_expiry.min(super::expiry(issued));
+        let outcome = Some(outcome);
+        self.entries.insert(key, Entry { issued, outcome });
+    }
+}
