testutils: add the stand-in instance list and load balancer

The library learns of leaving instances from a list that lags, and callers reach instances through a load balancer that follows readiness late. Tests of both need them on loopback.

The list shows each change after a lag that can be changed while it runs. The balancer passes each TCP connection to a ready instance in turn, tries another one when connecting fails, and can delay each direction.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,7 +4,9 @@
 //! on its own, so that a test against a stand-in also checks the library's encoding.
 
 pub mod backend;
+pub mod balancer;
 pub mod client;
+pub mod instances;
 pub mod process;
 pub mod server;
 pub mod store;
--- a/testutils/src/server.rs
+++ b/testutils/src/server.rs
@@ -37,7 +37,7 @@
 const CLOSED: u64 = u64::MAX;
 
 /// The pause after a failed accept, for instance when no file descriptor is free.
-const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+pub(crate) const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
 /// Why a stand-in did not start.
 #[derive(Debug, thiserror::Error)]
--- /dev/null
+++ b/testutils/tests/instances.rs
@@ -0,0 +1,52 @@
+//! The list of instances.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use camphorhold_testutils::client;
+use camphorhold_testutils::instances::Entry;
+use camphorhold_testutils::instances::List;
+use camphorhold_testutils::instances::State;
+use serde_json::Value;
+use serde_json::json;
+
+use self::common::ANY;
+
+async fn shown(list: &List) -> Value {
+    client::get(list.address(), "/instances").await.unwrap().1
+}
+
+/// Guards against changes that show before the lag, out of order, or never.
+#[tokio::test]
+async fn a_change_shows_only_after_the_lag() {
+    let address: SocketAddr = "127.0.0.1:9001".parse().unwrap();
+    let live = Entry {
+        address,
+        state: State::Live,
+    };
+    let list = List::start(ANY, vec![live], Duration::from_hours(1))
+        .await
+        .unwrap();
+    let leaving = json!([{"address": "127.0.0.1:9001", "state": "leaving"}]);
+    client::post(list.address(), "/set", &leaving)
+        .await
+        .unwrap();
+    assert_eq!(
+        shown(&list).await,
+        json!([{"address": "127.0.0.1:9001", "state": "live"}])
+    );
+    list.set_lag(Duration::ZERO);
+    assert_eq!(shown(&list).await, leaving);
+    list.set(Vec::new());
+    assert_eq!(shown(&list).await, json!([]));
+    client::post(list.address(), "/lag", &json!({"lag_ms": 3_600_000}))
+        .await
+        .unwrap();
+    list.set(vec![live]);
+    assert_eq!(shown(&list).await, json!([]));
+    assert_eq!(list.reads(), 4);
+}
