--- a/testutils/tests/backend.rs
+++ b/testutils/tests/backend.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use camphorhold_testutils::backend::Answer;
@@ -21,6 +22,7 @@
 use camphorhold_testutils::backend::Status;
 use camphorhold_testutils::backend::Temperature;
 use camphorhold_testutils::backend::expected_hits;
+use camphorhold_testutils::backend::read_file;
 use camphorhold_testutils::client;
 use camphorhold_testutils::client::Connection;
 use serde_json::Value;
@@ -409,3 +411,21 @@
         Status::Ok
     );
 }
+
+/// Guards against leafs of an operators' file that are left out or have sizes other than the
+/// file's.
+#[test]
+fn an_operators_file_gives_leafs_and_sizes() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/almisse.toml");
+    let leafs = read_file(&path, &warm()).unwrap();
+    assert_eq!(leafs.len(), 114);
+    let (leaf, model) = leafs
+        .iter()
+        .find(|(leaf, _)| leaf.service == "gift-ledger")
+        .unwrap();
+    assert_eq!(leaf.to_string(), "127.0.0.1:21200=gift-ledger/v1/0");
+    assert_eq!((model.slots, model.connections), (4, 100));
+    assert_eq!(model.connect_cost, Duration::from_millis(1));
+    assert_eq!(model.cold_start.answers, 20);
+    assert!(!model.cold_start.at_start);
+}
