--- /dev/null
+++ b/lib/src/coordination/control.rs
@@ -0,0 +1,390 @@
+//! The control machine of one instance: joins currency, proposals, ownership, membership and
+//! gossip.
+//!
+//! The daemon's control thread feeds it inputs, carries out the actions in order, and calls it with
+//! [`Input::Tick`] at [`Machine::next_wakeup`].
+
+mod apply;
+mod exchange;
+mod message;
+mod settings;
+mod store;
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::apply::Body;
+pub use self::message::Action;
+pub use self::message::BodyPart;
+pub use self::message::BodyRequest;
+pub use self::message::Event;
+pub use self::message::GossipRequest;
+pub use self::message::GossipResponse;
+pub use self::message::Input;
+pub use self::message::Message;
+pub use self::message::Sender;
+pub use self::message::SentRecord;
+pub use self::message::StoreFailure;
+pub use self::message::StoreRequest;
+#[doc(hidden)]
+pub use self::settings::Mutation;
+pub use self::settings::Settings;
+use self::store::Reads;
+use crate::coordination::currency::Evidence;
+use crate::coordination::currency::Heartbeat;
+use crate::coordination::currency::longest_age;
+use crate::coordination::gossip::Facts;
+use crate::coordination::membership::Membership;
+use crate::coordination::membership::Request;
+use crate::coordination::ownership::Release;
+use crate::coordination::ownership::Table;
+use crate::coordination::proposal::Change;
+use crate::coordination::proposal::Promises;
+use crate::coordination::proposal::Proposer;
+use crate::coordination::proposal::StoreRevision;
+use crate::coordination::proposal::Stored;
+use crate::state::file::File;
+use crate::state::id::Generation;
+use crate::state::id::InstanceId;
+use crate::state::id::OperationId;
+use crate::state::record::Candidate;
+use crate::state::record::Record;
+use crate::state::view::Phase;
+use crate::state::view::View;
+
+/// Between two looks at the time limits of failure detection.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Between two requests to join or to leave.
+const JOIN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The control machine of one instance.
+#[derive(Debug)]
+pub struct Machine {
+    settings: Settings,
+    random: ChaCha8Rng,
+    me: Candidate,
+    phase: Phase,
+    /// The highest record seen. Its file body may be missing.
+    known: Stored,
+    /// When the highest record was first seen.
+    known_since: Instant,
+    /// The record in force here.
+    applied: Arc<Record>,
+    file: Option<Arc<File>>,
+    body: Body,
+    table: Arc<Table>,
+    /// Releases for generations that are not applied yet.
+    early_releases: Vec<Release>,
+    evidence: Evidence,
+    heartbeats: u64,
+    promises: Promises,
+    proposer: Proposer,
+    membership: Membership,
+    facts: Facts,
+    facts_changed: bool,
+    reads: Reads,
+    next_gossip: Instant,
+    next_tick: Instant,
+    next_join: Instant,
+    join_attempts: usize,
+    view: Arc<View>,
+}
+
+impl Machine {
+    /// Creates the machine of a process that starts now. The seed must differ between any two
+    /// starts, because the instance id is drawn from it.
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64, now: Instant) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let me = Candidate {
+            instance: InstanceId(random.random()),
+            address: settings.address,
+            failure_domain: settings.failure_domain.clone(),
+        };
+        let empty = Arc::new(Record::empty());
+        let table = Arc::new(Table::default());
+        let next_gossip = now + settings.gossip_interval.mul_f64(random.random());
+        Self {
+            phase: Phase::Joining,
+            known: Stored {
+                record: empty.clone(),
+                revision: StoreRevision(0),
+            },
+            known_since: now,
+            applied: empty.clone(),
+            file: None,
+            body: Body::default(),
+            early_releases: Vec::new(),
+            evidence: Evidence::default(),
+            heartbeats: 0,
+            promises: Promises::default(),
+            proposer: Proposer::new(me.instance, settings.proposal_limits()),
+            membership: Membership::new(settings.membership_limits()),
+            facts: Facts::default(),
+            facts_changed: false,
+            reads: Reads::new(now),
+            next_gossip,
+            next_tick: now,
+            next_join: now + JOIN_INTERVAL,
+            join_attempts: 0,
+            view: Arc::new(apply::first_view(me.instance, empty, table.clone())),
+            table,
+            me,
+            random,
+            settings,
+        }
+    }
+
+    /// Returns this instance's id. It changes if the instance is removed while alive.
+    #[must_use]
+    pub fn instance(&self) -> InstanceId {
+        self.me.instance
+    }
+
+    /// Returns who this instance says it is in messages.
+    #[must_use]
+    pub fn sender(&self) -> Sender {
+        Sender {
+            instance: self.me.instance,
+            address: self.me.address,
+        }
+    }
+
+    /// Returns the view published last.
+    #[must_use]
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// Returns when the machine wants [`Input::Tick`].
+    #[must_use]
+    pub fn next_wakeup(&self) -> Instant {
+        let fixed = [self.next_gossip, self.next_tick, self.reads.next_poll];
+        let fixed = fixed.into_iter().chain(self.proposer.next_wakeup());
+        fixed.min().unwrap_or(self.next_tick)
+    }
+
+    /// Takes an input and returns what to do, in order.
+    pub fn handle(&mut self, input: Input, now: Instant, wall: SystemTime) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.take(input, now, wall, &mut actions);
+        self.pass_time(now, &mut actions);
+        self.apply_known(now, wall, &mut actions);
+        self.refresh_view(now, wall, &mut actions);
+        actions
+    }
+
+    fn take(&mut self, input: Input, now: Instant, wall: SystemTime, actions: &mut Vec<Action>) {
+        match input {
+            Input::Tick => {}
+            Input::StoreRead { request, result } => {
+                self.on_store_read(request, result, now, actions);
+            }
+            Input::FileRead { request, result } => self.on_file_read(request, result),
+            Input::FileWritten { request, result } => {
+                if self.reads.is_proposers(request) {
+                    let steps = self.proposer.on_body_written(result.is_ok(), now);
+                    self.carry_out(steps, now, actions);
+                }
+            }
+            Input::StoreWritten { request, swapped } => {
+                if self.reads.is_proposers(request) {
+                    let steps = self.proposer.on_swapped(swapped, now);
+                    self.carry_out(steps, now, actions);
+                }
+            }
+            Input::Message { from, message } => self.on_message(from, message, now, actions),
+            Input::InstanceList(addresses) => {
+                let record = &self.known.record;
+                self.membership.on_instance_list(addresses, record, now);
+            }
+            Input::FactObserved(fact) => self.on_fact(fact, now, wall, actions),
+            Input::Shutdown => {
+                self.phase = match self.phase {
+                    Phase::Member => Phase::Leaving,
+                    Phase::Joining => Phase::Left,
+                    Phase::Leaving | Phase::Left => self.phase,
+                };
+                self.next_join = now;
+            }
+            Input::Apply { .. }
+            | Input::ProposeRollout { .. }
+            | Input::ProposeRevocation { .. } => {
+                if let Some((operation, change)) = change_of(input) {
+                    self.submit(operation, change, now, actions);
+                }
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        operation: OperationId,
+        change: Change,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let steps = self.proposer.submit(operation, change, now);
+        self.carry_out(steps, now, actions);
+    }
+
+    fn pass_time(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let steps = self.proposer.tick(now);
+        self.carry_out(steps, now, actions);
+        if now >= self.next_gossip && self.phase != Phase::Left {
+            let jitter = self.random.random_range(0.9..1.1);
+            self.next_gossip = now + self.settings.gossip_interval.mul_f64(jitter);
+            self.open_exchange(now, actions);
+        } else if self.phase == Phase::Left {
+            self.next_gossip = now + JOIN_INTERVAL;
+        }
+        self.poll(now, actions);
+        if now >= self.next_tick {
+            self.next_tick = now + TICK_INTERVAL;
+            self.facts_changed |= self.facts.expire(self.me.instance, now);
+            self.detect_failures(now, actions);
+            self.change_roster(now, actions);
+        }
+        if now >= self.next_join {
+            self.next_join = now + JOIN_INTERVAL;
+            self.ask_for_roster_change(now, actions);
+        }
+    }
+
+    fn detect_failures(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let record = &self.known.record;
+        let requests = self
+            .membership
+            .tick(record, &self.me, now, &mut self.random);
+        for request in requests {
+            let Request::ProbeThrough {
+                probe,
+                helper,
+                target,
+            } = request;
+            actions.push(Action::SendTo {
+                address: helper,
+                message: Message::ProbeRequest { probe, target },
+            });
+        }
+        let gone = self.membership.gone(&self.known.record, now);
+        self.proposer.set_gone(gone);
+    }
+
+    /// Proposes the additions and removals that are due.
+    fn change_roster(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.proposer.idle() || self.phase == Phase::Left {
+            return;
+        }
+        let record = &self.known.record;
+        let change = self.membership.roster_change(record, self.me.instance, now);
+        if let Some((added, removed)) = change {
+            let operation = OperationId(self.random.random());
+            self.submit(operation, Change::Roster { added, removed }, now, actions);
+        }
+    }
+
+    /// Asks a member to add or remove this instance, or does it alone if there is no member.
+    fn ask_for_roster_change(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let record = &self.known.record;
+        let leaving = self.phase == Phase::Leaving;
+        if !leaving && self.phase != Phase::Joining {
+            return;
+        }
+        let gone = self.membership.gone(record, now);
+        let deserted = record.witnesses().all(|one| gone.contains(&one.instance));
+        let sponsor = self
+            .membership
+            .sponsor(record, &self.me, self.join_attempts);
+        self.join_attempts += 1;
+        if let Some(address) = sponsor.filter(|_| leaving || !deserted) {
+            let message = if leaving {
+                let instance = self.me.instance;
+                Message::Leave { instance }
+            } else {
+                Message::Join(self.me.clone())
+            };
+            actions.push(Action::SendTo { address, message });
+        } else if self.proposer.idle() && (leaving || (deserted && self.reads.answered)) {
+            let change = self.lone_change(leaving);
+            let operation = OperationId(self.random.random());
+            self.submit(operation, change, now, actions);
+        }
+    }
+
+    /// Returns the change of an instance that finds no other member.
+    fn lone_change(&self, leaving: bool) -> Change {
+        let listed = self.known.record.roster.iter().map(|one| one.instance);
+        if leaving {
+            let me = self.me.instance;
+            let removed = listed.filter(|instance| *instance == me).collect();
+            let added = Vec::new();
+            return Change::Roster { added, removed };
+        }
+        let added = vec![self.me.clone()];
+        let removed = listed.collect();
+        Change::Roster { added, removed }
+    }
+
+    /// Returns the highest generation that this instance has seen or promised.
+    fn highest(&self) -> Generation {
+        let seen = self.known.record.generation;
+        if self.settings.mutation == Mutation::HiddenPromises {
+            return seen;
+        }
+        self.promises
+            .highest()
+            .map_or(seen, |promised| promised.max(seen))
+    }
+
+    /// Notes this instance's own heartbeat, which is as fresh as can be.
+    fn beat(&mut self, now: Instant) {
+        self.heartbeats += 1;
+        let heartbeat = Heartbeat {
+            witness: self.me.instance,
+            sequence: self.heartbeats,
+            highest: self.highest(),
+            age_ms: 0,
+        };
+        self.evidence.note_heartbeat(&heartbeat, now);
+        let oldest = now.checked_sub(longest_age(self.settings.currency_bound));
+        self.evidence.prune(self.applied.generation, oldest);
+    }
+}
+
+fn change_of(input: Input) -> Option<(OperationId, Change)> {
+    match input {
+        Input::Apply {
+            operation,
+            text,
+            expected,
+            ..
+        } => Some((operation, Change::File { text, expected })),
+        Input::ProposeRollout {
+            operation,
+            rollout,
+            expected,
+            stage,
+        } => {
+            let change = Change::Rollout {
+                rollout,
+                expected,
+                stage,
+            };
+            Some((operation, change))
+        }
+        Input::ProposeRevocation {
+            operation,
+            service,
+            version,
+        } => Some((operation, Change::Revocation { service, version })),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/control/apply.rs
@@ -0,0 +1,391 @@
+//! Taking over a record: file body, ownership, phase, view.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use rand::Rng;
+
+use crate::coordination::control::Action;
+use crate::coordination::control::BodyPart;
+use crate::coordination::control::BodyRequest;
+use crate::coordination::control::Event;
+use crate::coordination::control::Machine;
+use crate::coordination::control::Message;
+use crate::coordination::control::Mutation;
+use crate::coordination::control::StoreFailure;
+use crate::coordination::control::StoreRequest;
+use crate::coordination::gossip::Fact;
+use crate::coordination::ownership;
+use crate::coordination::ownership::Release;
+use crate::coordination::ownership::Table;
+use crate::coordination::proposal::Stored;
+use crate::state::file::File;
+use crate::state::id::InstanceId;
+use crate::state::record::FileRef;
+use crate::state::record::Record;
+use crate::state::view::Currency;
+use crate::state::view::LeafStatus;
+use crate::state::view::Phase;
+use crate::state::view::View;
+
+/// How long a file body is awaited from peers before it is read from the store.
+const BODY_WAIT: Duration = Duration::from_secs(1);
+
+/// Releases kept for generations that are not applied yet.
+const MAX_EARLY_RELEASES: usize = 256;
+
+/// The largest file body, the same as the store's largest value.
+const MAX_BODY_BYTES: u64 = 1024 * 1024;
+
+/// File bodies: the last one received whole, the one on offer, and the one being received.
+#[derive(Debug, Default)]
+pub(super) struct Body {
+    held: Option<(FileRef, Arc<str>)>,
+    offered: Option<(FileRef, Arc<str>)>,
+    parts: Option<(FileRef, Vec<u8>)>,
+    rejected: Option<FileRef>,
+}
+
+impl Body {
+    /// Keeps the body of a file that this instance proposes.
+    pub(super) fn offer(&mut self, file: FileRef, text: Arc<str>) {
+        self.offered = Some((file, text));
+    }
+
+    fn take(&mut self, file: FileRef, text: Arc<str>) {
+        if file.matches(&text) {
+            self.held = Some((file, text));
+            self.parts = None;
+        }
+    }
+
+    /// Returns the body if it is here.
+    fn get(&self, file: FileRef) -> Option<&Arc<str>> {
+        let bodies = [self.held.as_ref(), self.offered.as_ref()];
+        let mut bodies = bodies.into_iter().flatten();
+        bodies.find(|(name, _)| *name == file).map(|(_, text)| text)
+    }
+
+    pub(super) fn request(&self, record: &Record) -> Option<BodyRequest> {
+        let file = record.file.filter(|file| self.get(*file).is_none())?;
+        let parts = self.parts.as_ref().filter(|(name, _)| *name == file);
+        let offset = parts.map_or(0, |(_, bytes)| bytes.len() as u64);
+        Some(BodyRequest { file, offset })
+    }
+
+    pub(super) fn part(&self, request: BodyRequest, budget: usize) -> Option<BodyPart> {
+        let bytes = self.get(request.file)?.as_bytes();
+        let start = usize::try_from(request.offset).ok()?;
+        let end = start.saturating_add(budget).min(bytes.len());
+        Some(BodyPart {
+            file: request.file,
+            offset: request.offset,
+            total: bytes.len() as u64,
+            bytes: bytes.get(start..end)?.to_vec(),
+        })
+    }
+
+    /// Takes a part. Tells whether it was the one that was missing.
+    pub(super) fn on_part(&mut self, part: BodyPart, record: &Record) -> bool {
+        let wanted = self.request(record);
+        let expected =
+            wanted.is_some_and(|wanted| wanted.file == part.file && wanted.offset == part.offset);
+        if !expected || part.bytes.is_empty() || part.total > MAX_BODY_BYTES {
+            return false;
+        }
+        let (_, bytes) = match &mut self.parts {
+            Some(parts) if parts.0 == part.file => parts,
+            parts => parts.insert((part.file, Vec::new())),
+        };
+        bytes.extend(part.bytes);
+        if bytes.len() as u64 >= part.total {
+            let text = String::from_utf8(std::mem::take(bytes));
+            self.parts = None;
+            if let Ok(text) = text {
+                self.take(part.file, text.into());
+            }
+        }
+        true
+    }
+}
+
+/// Returns the view before any record was applied.
+pub(super) fn first_view(instance: InstanceId, record: Arc<Record>, table: Arc<Table>) -> View {
+    View {
+        instance,
+        phase: Phase::Joining,
+        record,
+        file: None,
+        ownership: table,
+        revocations: Arc::default(),
+        drains: Arc::default(),
+        poison: Arc::default(),
+        leaf_statuses: Arc::default(),
+        currency: Currency::Lost,
+        valid_until: None,
+    }
+}
+
+impl Machine {
+    /// Takes over a record if it is newer than the highest one seen.
+    pub(super) fn learn(&mut self, stored: Stored, now: Instant) {
+        let newer = stored.record.generation > self.known.record.generation;
+        if !newer && self.settings.mutation != Mutation::OldRecordsAccepted {
+            return;
+        }
+        self.known = stored;
+        self.known_since = now;
+        self.promises.note_seen(self.known.record.generation);
+        self.membership.on_record(&self.known.record, &self.me, now);
+    }
+
+    pub(super) fn on_file_read(
+        &mut self,
+        request: StoreRequest,
+        result: Result<Option<Arc<str>>, StoreFailure>,
+    ) {
+        let matches = self.reads.body.take_if(|waits| *waits == request);
+        if let (Some(_), Ok(Some(text)), Some(file)) = (matches, result, self.known.record.file) {
+            self.body.take(file, text);
+        }
+    }
+
+    /// Puts the highest record seen into force, if its file body is here.
+    pub(super) fn apply_known(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.known.record.generation == self.applied.generation {
+            return;
+        }
+        let Some(file) = self.known_file(now, wall, actions) else {
+            return;
+        };
+        let record = self.known.record.clone();
+        self.file = file;
+        self.change_phase(&record, wall, actions);
+        let table = ownership::build(
+            self.me.instance,
+            &record,
+            self.file.as_deref(),
+            &self.table,
+            self.settings.handover_wait(),
+            now,
+        );
+        let old = std::mem::replace(&mut self.table, Arc::new(table));
+        self.applied = record;
+        self.take_early_releases(now);
+        let event = Event::Applied(self.applied.generation);
+        actions.push(Action::Event { at: wall, event });
+        // Traffic threads must see the new owners before the new owners are told to start.
+        self.refresh_view(now, wall, actions);
+        for (owner, release) in ownership::releases(&old, &self.table, now) {
+            if let Some(member) = self.applied.member(owner) {
+                actions.push(Action::SendTo {
+                    address: member.address,
+                    message: Message::Release(release),
+                });
+            }
+        }
+    }
+
+    /// Returns the file of the highest record seen, or `None` while it is missing.
+    #[expect(clippy::option_option, reason = "a record may have no file")]
+    fn known_file(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        actions: &mut Vec<Action>,
+    ) -> Option<Option<Arc<File>>> {
+        let Some(file) = self.known.record.file else {
+            return Some(None);
+        };
+        if self.applied.file == Some(file) {
+            return Some(self.file.clone());
+        }
+        let Some(text) = self.body.get(file).cloned() else {
+            self.read_body(file, now, actions);
+            return None;
+        };
+        if let Ok(parsed) = File::parse(&text) {
+            self.body.take(file, text);
+            return Some(Some(Arc::new(parsed)));
+        }
+        if self.body.rejected.replace(file) != Some(file) {
+            let event = Event::FileRejected(file);
+            actions.push(Action::Event { at: wall, event });
+        }
+        None
+    }
+
+    fn read_body(&mut self, file: FileRef, now: Instant, actions: &mut Vec<Action>) {
+        if now < self.known_since + BODY_WAIT {
+            return;
+        }
+        self.known_since = now;
+        let request = self.reads.next();
+        self.reads.body = Some(request);
+        actions.push(Action::ReadFileBody { request, file });
+    }
+
+    fn change_phase(&mut self, record: &Record, wall: SystemTime, actions: &mut Vec<Action>) {
+        let listed = record.member(self.me.instance).is_some();
+        self.phase = match (self.phase, listed) {
+            (Phase::Joining, true) => Phase::Member,
+            (Phase::Leaving, false) => Phase::Left,
+            (Phase::Member, false) => {
+                let old = self.me.instance;
+                let new = InstanceId(self.random.random());
+                self.me.instance = new;
+                let event = Event::Removed { old, new };
+                actions.push(Action::Event { at: wall, event });
+                Phase::Joining
+            }
+            (phase, _) => phase,
+        };
+    }
+
+    pub(super) fn on_release(&mut self, release: &Release, now: Instant) {
+        if release.generation > self.applied.generation
+            && self.early_releases.len() < MAX_EARLY_RELEASES
+        {
+            self.early_releases.push(release.clone());
+        }
+        self.use_release(release, now);
+    }
+
+    fn use_release(&mut self, release: &Release, now: Instant) {
+        let Some(file) = &self.file else {
+            return;
+        };
+        let table = &self.table;
+        let next = ownership::with_release(table, &self.applied, file, release, now);
+        if let Some(next) = next {
+            self.table = Arc::new(next);
+        }
+    }
+
+    fn take_early_releases(&mut self, now: Instant) {
+        for release in std::mem::take(&mut self.early_releases) {
+            self.on_release(&release, now);
+        }
+    }
+
+    /// Publishes a view if anything in it has changed.
+    pub(super) fn refresh_view(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        actions: &mut Vec<Action>,
+    ) {
+        self.beat(now);
+        let bound = self.settings.currency_bound;
+        let (currency, valid_until) = self.assess(bound, now);
+        let old = &self.view;
+        let same = old.instance == self.me.instance
+            && old.phase == self.phase
+            && old.currency == currency
+            && old.valid_until == valid_until
+            && Arc::ptr_eq(&old.record, &self.applied)
+            && Arc::ptr_eq(&old.ownership, &self.table);
+        if same && !self.facts_changed {
+            return;
+        }
+        if currency != old.currency {
+            let event = Event::Currency(currency);
+            actions.push(Action::Event { at: wall, event });
+        }
+        let mut view = View {
+            instance: self.me.instance,
+            phase: self.phase,
+            record: self.applied.clone(),
+            file: self.file.clone(),
+            ownership: self.table.clone(),
+            currency,
+            valid_until,
+            ..View::clone(old)
+        };
+        if self.facts_changed || !Arc::ptr_eq(&old.record, &self.applied) {
+            self.facts_changed = false;
+            self.show_facts(&mut view);
+        }
+        self.view = Arc::new(view);
+        actions.push(Action::PublishView(self.view.clone()));
+    }
+
+    fn assess(&self, bound: Duration, now: Instant) -> (Currency, Option<Instant>) {
+        if self.applied.generation.0 == 0 {
+            return (Currency::Lost, None);
+        }
+        let (currency, until) = self.evidence.assess(&self.applied, bound, now);
+        let store_only = self.settings.mutation == Mutation::StoreEvidenceOnly;
+        if store_only && currency == Currency::Witnessed {
+            return (Currency::Lost, None);
+        }
+        (currency, until)
+    }
+
+    fn show_facts(&self, view: &mut View) {
+        let mut revocations = self.applied.revocations.clone();
+        let mut drains = BTreeSet::new();
+        let mut poison: BTreeMap<_, u32> = BTreeMap::new();
+        let mut leaf_statuses = BTreeMap::new();
+        for (origin, fact) in self.facts.iter() {
+            match fact.clone() {
+                Fact::Drain { leaf } => {
+                    drains.insert(leaf);
+                }
+                Fact::Revocation { service, version } => {
+                    revocations.insert((service, version));
+                }
+                Fact::Poison {
+                    fingerprint,
+                    crashes,
+                } => {
+                    let sum = poison.entry(fingerprint).or_default();
+                    *sum = sum.saturating_add(crashes);
+                }
+                Fact::LeafStatus {
+                    leaf,
+                    incarnation,
+                    holds,
+                    partition,
+                    temperature,
+                } => {
+                    // The owner knows best; an earlier owner's word counts until it has spoken.
+                    let owner = self.table.leaf(leaf).map(|owned| owned.owner);
+                    let status = LeafStatus {
+                        incarnation,
+                        holds,
+                        partition,
+                        temperature,
+                    };
+                    if owner == Some(origin) {
+                        leaf_statuses.insert(leaf, status);
+                    } else {
+                        leaf_statuses.entry(leaf).or_insert(status);
+                    }
+                }
+                Fact::Evidence { .. } => {}
+            }
+        }
+        view.revocations = Arc::new(revocations);
+        view.drains = Arc::new(drains);
+        view.poison = Arc::new(poison);
+        view.leaf_statuses = Arc::new(leaf_statuses);
+    }
+
+    /// Iterates over the rollout counters of all instances, for the rollout driver.
+    pub fn rollout_evidence(&self) -> impl Iterator<Item = (InstanceId, &[u8])> {
+        self.facts.iter().filter_map(|(origin, fact)| match fact {
+            Fact::Evidence { bytes, .. } => Some((origin, bytes.as_slice())),
+            _ => None,
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/control/settings.rs
@@ -0,0 +1,123 @@
+//! Settings of the control machine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::coordination::membership;
+use crate::coordination::proposal;
+use crate::state::id::FailureDomain;
+
+/// Settings of one instance. The times are the same in the whole deployment.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where the other instances reach this one.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+    /// How old evidence of currency may be.
+    pub currency_bound: Duration,
+    /// Between two exchanges that this instance opens.
+    pub gossip_interval: Duration,
+    /// Between two reads of the record by the instances that poll.
+    pub poll_interval: Duration,
+    /// The age of store evidence from which on any instance polls.
+    pub stale_evidence: Duration,
+    /// How long an answer of the store is awaited.
+    pub store_timeout: Duration,
+    /// How long promises are awaited.
+    pub announce_timeout: Duration,
+    /// Until an unanswered probe is repeated through other instances.
+    pub direct_probe: Duration,
+    /// Until an instance that answers no probe is suspected.
+    pub indirect_probe: Duration,
+    /// Until the removal of a suspected instance is proposed.
+    pub suspicion: Duration,
+    /// How much longer each further rank waits with that.
+    pub rank_delay: Duration,
+    /// How long no witness must be in sight before the roster is replaced without them.
+    pub bootstrap_wait: Duration,
+    /// Bytes of facts and file body per message.
+    pub exchange_bytes: usize,
+    /// Breaks one rule on purpose.
+    #[doc(hidden)]
+    pub mutation: Mutation,
+}
+
+/// Breaks one rule, to show that the checks of the tests notice.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mutation {
+    /// All rules hold.
+    #[default]
+    None,
+    /// Writes without asking witnesses.
+    NoPromises,
+    /// Heartbeats hide promises.
+    HiddenPromises,
+    /// Evidence is dated when it arrives.
+    DatedOnArrival,
+    /// A new owner starts at once.
+    NoHandoverWait,
+    /// A lost answer is treated as a failure.
+    OperationsIgnored,
+    /// Any record that arrives is taken over.
+    OldRecordsAccepted,
+    /// Records are not sent on, and only the lowest ranks poll.
+    RecordsNotSpread,
+    /// Witnesses count for nothing.
+    StoreEvidenceOnly,
+}
+
+impl Settings {
+    /// Returns settings with the default times.
+    #[must_use]
+    pub fn new(address: SocketAddr, failure_domain: FailureDomain) -> Self {
+        Self {
+            address,
+            failure_domain,
+            currency_bound: Duration::from_secs(3),
+            gossip_interval: Duration::from_millis(200),
+            poll_interval: Duration::from_millis(500),
+            stale_evidence: Duration::from_millis(1500),
+            store_timeout: Duration::from_secs(2),
+            announce_timeout: Duration::from_secs(1),
+            direct_probe: Duration::from_millis(300),
+            indirect_probe: Duration::from_secs(1),
+            suspicion: Duration::from_secs(3),
+            rank_delay: Duration::from_secs(1),
+            bootstrap_wait: Duration::from_secs(10),
+            exchange_bytes: 16 * 1024,
+            mutation: Mutation::None,
+        }
+    }
+
+    /// Returns how long a new owner waits for an earlier one to stop.
+    #[must_use]
+    pub fn handover_wait(&self) -> Duration {
+        if self.mutation == Mutation::NoHandoverWait {
+            return Duration::ZERO;
+        }
+        self.currency_bound + Duration::from_millis(500)
+    }
+
+    pub(super) fn proposal_limits(&self) -> proposal::Limits {
+        proposal::Limits {
+            store: self.store_timeout,
+            announce: self.announce_timeout,
+            resolve: self.poll_interval,
+            ask_witnesses: self.mutation != Mutation::NoPromises,
+            check_operations: self.mutation != Mutation::OperationsIgnored,
+        }
+    }
+
+    pub(super) fn membership_limits(&self) -> membership::Limits {
+        membership::Limits {
+            direct: self.direct_probe,
+            indirect: self.indirect_probe,
+            suspicion: self.suspicion,
+            rank_delay: self.rank_delay,
+            bootstrap_wait: self.bootstrap_wait,
+            currency_bound: self.currency_bound,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/control/store.rs
@@ -0,0 +1,237 @@
+//! The control machine's dealings with the store.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+
+use crate::coordination::control::Action;
+use crate::coordination::control::Machine;
+use crate::coordination::control::Message;
+use crate::coordination::control::Mutation;
+use crate::coordination::control::StoreFailure;
+use crate::coordination::control::StoreRequest;
+use crate::coordination::proposal::Step;
+use crate::coordination::proposal::StoreRevision;
+use crate::coordination::proposal::Stored;
+use crate::state::record::Member;
+use crate::state::view::Phase;
+
+/// Witnesses that poll the record at rest.
+const POLLING_WITNESSES: usize = 3;
+
+/// Reads per second that the instances with stale evidence make together.
+const STALE_READS_PER_SECOND: u32 = 20;
+
+/// The shortest time between two reads of an instance with stale evidence.
+const STALE_POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Requests to the store that are under way.
+#[derive(Debug)]
+pub(super) struct Reads {
+    last: u64,
+    poll: Option<Poll>,
+    /// The proposer's only outstanding request, and when it was sent.
+    proposer: Option<(StoreRequest, Instant)>,
+    pub(super) body: Option<StoreRequest>,
+    pub(super) next_poll: Instant,
+    /// Whether the store ever answered.
+    pub(super) answered: bool,
+}
+
+#[derive(Debug)]
+struct Poll {
+    request: StoreRequest,
+    sent: Instant,
+    base: Stored,
+}
+
+impl Reads {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            last: 0,
+            poll: None,
+            proposer: None,
+            body: None,
+            next_poll: now,
+            answered: false,
+        }
+    }
+
+    pub(super) fn next(&mut self) -> StoreRequest {
+        self.last += 1;
+        StoreRequest(self.last)
+    }
+
+    fn next_proposers(&mut self, now: Instant) -> StoreRequest {
+        let request = self.next();
+        self.proposer = Some((request, now));
+        request
+    }
+
+    /// Tells whether the proposer waits for the request. Answers to older requests are ignored.
+    pub(super) fn is_proposers(&self, request: StoreRequest) -> bool {
+        self.proposer.is_some_and(|(waits, _)| waits == request)
+    }
+}
+
+impl Machine {
+    /// Reads the record if it is this instance's turn.
+    pub(super) fn poll(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if now < self.reads.next_poll {
+            return;
+        }
+        let Some(interval) = self.poll_interval(now) else {
+            self.reads.next_poll = now + self.settings.poll_interval;
+            return;
+        };
+        self.reads.next_poll = now + interval;
+        let request = self.reads.next();
+        self.reads.poll = Some(Poll {
+            request,
+            sent: now,
+            base: self.known.clone(),
+        });
+        actions.push(Action::ReadStore {
+            request,
+            newer_than: self.known.revision,
+        });
+    }
+
+    fn poll_interval(&mut self, now: Instant) -> Option<Duration> {
+        let record = &self.known.record;
+        let mut lowest = record.witnesses().take(POLLING_WITNESSES);
+        if lowest.any(|witness| witness.instance == self.me.instance) {
+            return Some(self.settings.poll_interval);
+        }
+        let observed = self.evidence.store_observed(record.generation);
+        let age = observed.map(|observed| now.saturating_duration_since(observed));
+        let stale = age.is_none_or(|age| age > self.settings.stale_evidence);
+        let spread = self.settings.mutation != Mutation::RecordsNotSpread;
+        if !stale || self.phase == Phase::Left || !(spread || record.generation.0 == 0) {
+            return None;
+        }
+        let size = u32::try_from(record.roster.len()).unwrap_or(u32::MAX);
+        let shared = Duration::from_secs(1) * size / STALE_READS_PER_SECOND;
+        let jitter = self.random.random_range(0.75..1.25);
+        Some(shared.max(STALE_POLL_INTERVAL).mul_f64(jitter))
+    }
+
+    pub(super) fn on_store_read(
+        &mut self,
+        request: StoreRequest,
+        result: Result<Option<Stored>, StoreFailure>,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.reads.answered |= result.is_ok();
+        if self.reads.is_proposers(request) {
+            let steps = self.proposer.on_read(result, now);
+            self.carry_out(steps, now, actions);
+            return;
+        }
+        let matching = self.reads.poll.take_if(|poll| poll.request == request);
+        let (Some(poll), Ok(found)) = (matching, result) else {
+            return;
+        };
+        let sent = self.evidence_time(poll.sent, now);
+        match found {
+            Some(stored) => {
+                self.evidence.note_store(stored.record.generation, sent);
+                self.learn(stored, now);
+            }
+            // Nothing newer: the store still holds what was known when the read was sent.
+            None if poll.base.revision > StoreRevision(0) => {
+                let generation = poll.base.record.generation;
+                self.evidence.note_store(generation, sent);
+            }
+            None => {}
+        }
+    }
+
+    /// Returns when evidence counts as observed that was asked for at `sent`.
+    pub(super) fn evidence_time(&self, sent: Instant, now: Instant) -> Instant {
+        if self.settings.mutation == Mutation::DatedOnArrival {
+            return now;
+        }
+        sent
+    }
+
+    /// Carries out what the proposer asks for.
+    pub(super) fn carry_out(&mut self, steps: Vec<Step>, now: Instant, actions: &mut Vec<Action>) {
+        for step in steps {
+            match step {
+                Step::Read => actions.push(Action::ReadStore {
+                    request: self.reads.next_proposers(now),
+                    newer_than: StoreRevision(0),
+                }),
+                Step::WriteBody { file, text } => {
+                    self.body.offer(file, text.clone());
+                    let request = self.reads.next_proposers(now);
+                    actions.push(Action::WriteFileBody {
+                        request,
+                        file,
+                        text,
+                    });
+                }
+                Step::Announce {
+                    proposal,
+                    generation,
+                    witnesses,
+                } => {
+                    let message = Message::Announce {
+                        proposal,
+                        generation,
+                    };
+                    self.tell(&witnesses, &message, now, actions);
+                }
+                Step::Retract {
+                    proposal,
+                    witnesses,
+                } => {
+                    let message = Message::Retract { proposal };
+                    self.tell(&witnesses, &message, now, actions);
+                }
+                Step::Swap { expected, record } => actions.push(Action::CompareAndSwap {
+                    request: self.reads.next_proposers(now),
+                    expected,
+                    record,
+                }),
+                Step::Learned(stored) => {
+                    if let Some((_, sent)) = self.reads.proposer {
+                        let sent = self.evidence_time(sent, now);
+                        self.evidence.note_store(stored.record.generation, sent);
+                    }
+                    self.learn(stored, now);
+                }
+                Step::Finished { operation, result } => {
+                    actions.push(Action::OperationFinished { operation, result });
+                }
+            }
+        }
+    }
+
+    /// Sends a message to witnesses, of which this instance may be one.
+    fn tell(
+        &mut self,
+        witnesses: &[Member],
+        message: &Message,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut me = false;
+        for witness in witnesses {
+            if witness.instance == self.me.instance {
+                me = true;
+                continue;
+            }
+            actions.push(Action::SendTo {
+                address: witness.address,
+                message: message.clone(),
+            });
+        }
+        if me {
+            self.on_message(self.sender(), message.clone(), now, actions);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/ownership.rs
@@ -0,0 +1,232 @@
+//! Rendezvous assignment of leafs, keys and fingerprints, and the handover between owners.
+//!
+//! The invariant behind readiness: an instance that is ready for a leaf at a generation knows that
+//! no other instance acts on the leaf at an older generation any more. It holds after the handover
+//! wait, by the currency rule. It is inherited if this instance was the only possible owner since
+//! the table before, and is passed on by a release of an owner that was ready itself and was the
+//! only possible owner up to the generation before.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+pub use crate::state::assignment::Assignment;
+use crate::state::assignment::Epoch;
+pub use crate::state::assignment::KeyOwner;
+pub use crate::state::assignment::Table;
+use crate::state::assignment::highest;
+use crate::state::file::File;
+use crate::state::file::Leaf;
+use crate::state::id::FailureDomain;
+use crate::state::id::Generation;
+use crate::state::id::InstanceId;
+use crate::state::id::LeafId;
+use crate::state::id::Revision;
+use crate::state::record::Record;
+
+/// Epochs kept for the start of key ownership. Older ones only make keys look younger.
+const MAX_EPOCHS: usize = 128;
+
+/// States that the sender sends nothing on to the leafs at any generation below `generation`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The sender.
+    pub instance: InstanceId,
+    /// The generation at which the sender was ready for the leafs.
+    pub held_at: Generation,
+    /// The file at that generation.
+    pub revision: Revision,
+    /// The generation that the sender applied since.
+    pub generation: Generation,
+    /// The leafs.
+    pub leafs: Vec<LeafId>,
+}
+
+type Listed<'a> = Vec<(InstanceId, &'a FailureDomain)>;
+
+/// Returns the owner among the instances: one in the leaf's own failure domain, if there is any.
+fn owner(leaf: &Leaf, listed: &[(InstanceId, &FailureDomain)]) -> Option<InstanceId> {
+    let hash = leaf_hash(leaf.id);
+    let near = listed
+        .iter()
+        .filter(|(_, domain)| **domain == leaf.failure_domain);
+    highest(hash, near.map(|(instance, _)| *instance))
+        .or_else(|| highest(hash, listed.iter().map(|(instance, _)| *instance)))
+}
+
+/// Like [`owner`], for a range of generations in which the leaf may have moved to another failure
+/// domain: returns an owner only if the domain makes no difference.
+fn owner_in_any_domain(leaf: &Leaf, listed: &[(InstanceId, &FailureDomain)]) -> Option<InstanceId> {
+    let near = owner(leaf, listed);
+    let any = highest(
+        leaf_hash(leaf.id),
+        listed.iter().map(|(instance, _)| *instance),
+    );
+    near.filter(|owner| Some(*owner) == any)
+}
+
+fn leaf_hash(leaf: LeafId) -> u64 {
+    xxh3_64(leaf.to_string().as_bytes())
+}
+
+/// Builds the table of `instance` for a record that it applies now.
+#[must_use]
+pub fn build(
+    instance: InstanceId,
+    record: &Record,
+    file: Option<&File>,
+    previous: &Table,
+    handover_wait: Duration,
+    now: Instant,
+) -> Table {
+    let roster: Listed = record
+        .roster
+        .iter()
+        .map(|member| (member.instance, &member.failure_domain))
+        .collect();
+    let between = continuity(instance, record, previous);
+    let revision = record.file.map_or(Revision(0), |file| file.revision);
+    let mut leafs = HashMap::new();
+    for (_, _, leaf) in file.iter().flat_map(|file| file.leafs()) {
+        let Some(owner) = owner(leaf, &roster) else {
+            continue;
+        };
+        let before = previous.leafs.get(&leaf.id);
+        let domain_hash = xxh3_64(leaf.failure_domain.as_str().as_bytes());
+        let domain_kept = revision.0 <= previous.revision.0 + 1
+            && before.is_some_and(|before| before.domain_hash == domain_hash);
+        let inherited = before.and_then(|before| before.ready_at).filter(|_| {
+            let sole = between.as_deref().and_then(|listed| {
+                if domain_kept {
+                    self::owner(leaf, listed)
+                } else {
+                    owner_in_any_domain(leaf, listed)
+                }
+            });
+            sole == Some(instance)
+        });
+        let ready_at = inherited.unwrap_or(now + handover_wait);
+        let assignment = Assignment {
+            owner,
+            previous: before
+                .map(|before| before.owner)
+                .filter(|old| *old != owner),
+            ready_at: (owner == instance).then_some(ready_at),
+            domain_hash,
+        };
+        leafs.insert(leaf.id, assignment);
+    }
+    let ids = |listed: &Listed| listed.iter().map(|(id, _)| *id).collect::<Arc<[_]>>();
+    let roster = ids(&roster);
+    let mut epochs = if between.is_some() {
+        previous.epochs.clone()
+    } else {
+        Vec::new()
+    };
+    epochs.extend(between.as_ref().map(|listed| Epoch {
+        applied_at: now,
+        listed: ids(listed),
+    }));
+    epochs.push(Epoch {
+        applied_at: now,
+        listed: roster.clone(),
+    });
+    let surplus = epochs.len().saturating_sub(MAX_EPOCHS);
+    epochs.drain(..surplus);
+    Table {
+        instance,
+        generation: record.generation,
+        revision,
+        handover_wait,
+        leafs,
+        epochs,
+        roster,
+    }
+}
+
+/// Returns everyone who may have been an owner between the previous table and this record, if
+/// this instance was listed all the time.
+fn continuity<'a>(
+    instance: InstanceId,
+    record: &'a Record,
+    previous: &Table,
+) -> Option<Listed<'a>> {
+    let member = record.member(instance)?;
+    if previous.instance != instance || member.joined > previous.generation {
+        return None;
+    }
+    record.listed_between(previous.generation, record.generation)
+}
+
+/// Lists what an instance that has applied `new` releases: to each new owner, the leafs that it
+/// was ready for.
+#[must_use]
+pub fn releases(old: &Table, new: &Table, now: Instant) -> BTreeMap<InstanceId, Release> {
+    let mut releases: BTreeMap<InstanceId, Release> = BTreeMap::new();
+    for (leaf, assignment) in &old.leafs {
+        let Some(next) = new.leafs.get(leaf) else {
+            continue;
+        };
+        let ready = assignment.ready_at.is_some_and(|at| at <= now);
+        if !ready || next.owner == old.instance {
+            continue;
+        }
+        let release = releases.entry(next.owner).or_insert_with(|| Release {
+            instance: old.instance,
+            held_at: old.generation,
+            revision: old.revision,
+            generation: new.generation,
+            leafs: Vec::new(),
+        });
+        release.leafs.push(*leaf);
+    }
+    releases
+}
+
+/// Returns the table with the release taken into account, or `None` if it changes nothing.
+#[must_use]
+pub fn with_release(
+    table: &Table,
+    record: &Record,
+    file: &File,
+    release: &Release,
+    now: Instant,
+) -> Option<Table> {
+    if release.generation < table.generation || release.revision != table.revision {
+        return None;
+    }
+    let last = Generation(table.generation.0.checked_sub(1)?);
+    if release.held_at > last || !listed_until(record, release.instance, last) {
+        return None;
+    }
+    let listed = record.listed_between(release.held_at, last)?;
+    let mut next = None;
+    for (_, _, leaf) in file.leafs() {
+        let waiting = table.leafs.get(&leaf.id);
+        let waiting = waiting.is_some_and(|leaf| leaf.ready_at.is_some_and(|at| at > now));
+        if waiting
+            && release.leafs.contains(&leaf.id)
+            && owner(leaf, &listed) == Some(release.instance)
+        {
+            let next = next.get_or_insert_with(|| table.clone());
+            if let Some(assignment) = next.leafs.get_mut(&leaf.id) {
+                assignment.ready_at = Some(now);
+            }
+        }
+    }
+    next
+}
+
+/// Tells whether the roster listed the instance up to and including the generation.
+fn listed_until(record: &Record, instance: InstanceId, last: Generation) -> bool {
+    let staying = record.member(instance);
+    let left = record.departures.iter();
+    let mut left = left.filter(|left| left.instance == instance);
+    staying.is_some_and(|member| member.joined <= last) || left.any(|left| left.left > last)
+}
--- /dev/null
+++ b/lib/src/state/assignment.rs
@@ -0,0 +1,133 @@
+//! Who owns which leaf, key and fingerprint, as traffic threads read it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::state::id::Fingerprint;
+use crate::state::id::Generation;
+use crate::state::id::IdempotencyKey;
+use crate::state::id::InstanceId;
+use crate::state::id::LeafId;
+use crate::state::id::Revision;
+
+/// Who owns a leaf, and from when on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Assignment {
+    /// The owner.
+    pub owner: InstanceId,
+    /// The owner in the table before, if it was another.
+    pub previous: Option<InstanceId>,
+    /// When this instance may start to send; `None` if it is not the owner.
+    pub ready_at: Option<Instant>,
+    /// The failure domain of the leaf.
+    pub(crate) domain_hash: u64,
+}
+
+/// Instances that were listed over a range of generations, and since when this instance knows.
+#[derive(Clone, Debug)]
+pub(crate) struct Epoch {
+    pub(crate) applied_at: Instant,
+    pub(crate) listed: Arc<[InstanceId]>,
+}
+
+/// Who owns an idempotency key or a fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyOwner {
+    /// The owner.
+    pub owner: InstanceId,
+    /// If this instance is the owner: since when it knows that it is, without a gap.
+    pub began: Option<Instant>,
+    /// If this instance is the owner: when it may act as such.
+    pub ready_at: Option<Instant>,
+}
+
+/// Ownership at one generation, seen from one instance.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    pub(crate) instance: InstanceId,
+    pub(crate) generation: Generation,
+    pub(crate) revision: Revision,
+    pub(crate) handover_wait: Duration,
+    pub(crate) leafs: HashMap<LeafId, Assignment>,
+    /// Newest last. The last entry is the roster itself.
+    pub(crate) epochs: Vec<Epoch>,
+    pub(crate) roster: Arc<[InstanceId]>,
+}
+
+impl Table {
+    /// Returns the generation it was built from.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// Returns the assignment of the leaf.
+    #[must_use]
+    pub fn leaf(&self, leaf: LeafId) -> Option<&Assignment> {
+        self.leafs.get(&leaf)
+    }
+
+    /// Iterates over all leafs.
+    pub fn leafs(&self) -> impl Iterator<Item = (LeafId, &Assignment)> {
+        self.leafs.iter().map(|(leaf, owner)| (*leaf, owner))
+    }
+
+    /// Tells whether this instance owns the leaf and every earlier owner has stopped.
+    #[must_use]
+    pub fn ready(&self, leaf: LeafId, now: Instant) -> bool {
+        let assignment = self.leafs.get(&leaf);
+        assignment.is_some_and(|owned| owned.ready_at.is_some_and(|at| at <= now))
+    }
+
+    /// Returns the owner of the idempotency key.
+    #[must_use]
+    pub fn key(&self, key: &IdempotencyKey) -> Option<KeyOwner> {
+        self.hashed(xxh3_64(key.as_str().as_bytes()))
+    }
+
+    /// Returns the owner of the fingerprint.
+    #[must_use]
+    pub fn fingerprint(&self, fingerprint: Fingerprint) -> Option<KeyOwner> {
+        self.hashed(fingerprint.0)
+    }
+
+    /// Returns the owner of anything else that is named by text, for instance of a rollout.
+    #[must_use]
+    pub fn name(&self, name: &str) -> Option<KeyOwner> {
+        self.hashed(xxh3_64(name.as_bytes()))
+    }
+
+    fn hashed(&self, hash: u64) -> Option<KeyOwner> {
+        let owner = highest(hash, self.roster.iter().copied())?;
+        let began = (owner == self.instance).then(|| {
+            let epochs = self.epochs.iter().rev();
+            let held = epochs.take_while(|epoch| {
+                highest(hash, epoch.listed.iter().copied()) == Some(self.instance)
+            });
+            held.last().map(|epoch| epoch.applied_at)
+        });
+        let began = began.flatten();
+        let ready_at = began.map(|began| began + self.handover_wait);
+        Some(KeyOwner {
+            owner,
+            began,
+            ready_at,
+        })
+    }
+}
+
+/// Returns the instance with the highest weight for the hash (rendezvous hashing).
+pub(crate) fn highest<I>(hash: u64, instances: I) -> Option<InstanceId>
+where
+    I: Iterator<Item = InstanceId>,
+{
+    instances.max_by_key(|instance| {
+        let weight = xxh3_64_with_seed(&instance.0.to_le_bytes(), hash);
+        (weight, *instance)
+    })
+}
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -1,6 +1,9 @@
-//! Data shared by all layers: ids, sizes, time, the operators' file.
+//! Data shared by all layers: ids, sizes, time, the operators' file, the control record.
 
+pub mod assignment;
 pub mod file;
 pub mod id;
+pub mod record;
 pub mod size;
 pub mod time;
+pub mod view;
--- /dev/null
+++ b/lib/src/state/record.rs
@@ -0,0 +1,328 @@
+//! The control record: the one value that all instances agree on.
+//!
+//! Operations are pure and return a new record whose generation is higher by one. The types derive
+//! serde directly, because the record is stored and sent exactly as it is held.
+
+mod witness;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::state::id::FailureDomain;
+use crate::state::id::Generation;
+use crate::state::id::InstanceId;
+use crate::state::id::OperationId;
+use crate::state::id::Revision;
+use crate::state::id::RolloutId;
+use crate::state::id::ServiceName;
+use crate::state::id::VersionName;
+
+/// The largest number of witnesses.
+pub const MAX_WITNESSES: usize = 15;
+
+/// Operations kept in the record, so that a lost answer can be resolved by reading.
+pub const MAX_OPERATIONS: usize = 64;
+
+/// Departed members kept in the record, so that an instance that skips generations can tell who
+/// may have owned a leaf in between.
+pub const MAX_DEPARTURES: usize = 64;
+
+/// Names one file body in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct FileRef {
+    /// Counts accepted files.
+    pub revision: Revision,
+    /// Digest of the text. Part of the body's key in the store, because two operators who race
+    /// write different bodies for the same revision.
+    pub digest: u64,
+}
+
+impl FileRef {
+    /// Names the text under the revision.
+    #[must_use]
+    pub fn new(revision: Revision, text: &str) -> Self {
+        let digest = xxh3_64(text.as_bytes());
+        Self { revision, digest }
+    }
+
+    /// Tells whether the text is the one that was named.
+    #[must_use]
+    pub fn matches(&self, text: &str) -> bool {
+        xxh3_64(text.as_bytes()) == self.digest
+    }
+}
+
+/// An instance in the roster.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The run of the process.
+    pub instance: InstanceId,
+    /// Where the other instances reach it.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+    /// The first generation that lists it.
+    pub joined: Generation,
+    /// Whether changes need its promise.
+    pub witness: bool,
+}
+
+/// An instance that was in the roster.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// The run of the process. It never returns under this id.
+    pub instance: InstanceId,
+    /// Where it ran.
+    pub failure_domain: FailureDomain,
+    /// The first generation that does not list it.
+    pub left: Generation,
+}
+
+/// Digest of what an operation did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Outcome(pub u64);
+
+/// An operation that was applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Applied {
+    /// The operation.
+    pub operation: OperationId,
+    /// The generation that it made.
+    pub generation: Generation,
+    /// Digest of what it did.
+    pub outcome: Outcome,
+}
+
+/// Why a rollout was taken back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TakenBackReason {
+    /// The new version failed or was slower than the old one.
+    Faults,
+    /// The deadline passed without a completion.
+    Deadline,
+    /// Operators withdrew it.
+    Operator,
+}
+
+/// How far a rollout is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RolloutStage {
+    /// Accepted, no traffic yet.
+    Pending,
+    /// The new version gets a share of the traffic.
+    Running {
+        /// Share in thousandths.
+        share_permille: u16,
+        /// Wall-clock time since when, in milliseconds since the Unix epoch.
+        since_unix_ms: u64,
+    },
+    /// The new version carries all traffic.
+    Completed,
+    /// The old version carries all traffic again.
+    TakenBack {
+        /// Why.
+        reason: TakenBackReason,
+    },
+    /// No longer in the operators' file.
+    Retired,
+}
+
+/// The control record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Rises by one per change.
+    pub generation: Generation,
+    /// The file in force, if one was ever accepted.
+    pub file: Option<FileRef>,
+    /// All instances, by rank: lowest id first.
+    pub roster: Vec<Member>,
+    /// The last members that left, oldest first.
+    pub departures: Vec<Departure>,
+    /// Every departure at a later generation than this one is listed.
+    pub departures_after: Generation,
+    /// The stage of each rollout.
+    pub rollouts: BTreeMap<RolloutId, RolloutStage>,
+    /// Versions that get no traffic. Only grows.
+    pub revocations: BTreeSet<(ServiceName, VersionName)>,
+    /// The last operations, oldest first.
+    pub operations: Vec<Applied>,
+}
+
+/// A member to add, before the record gives it a generation and a witness mark.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// The run of the process.
+    pub instance: InstanceId,
+    /// Where the other instances reach it.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+}
+
+impl Record {
+    /// Returns the record before the first change, which is never stored.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self {
+            generation: Generation(0),
+            file: None,
+            roster: Vec::new(),
+            departures: Vec::new(),
+            departures_after: Generation(0),
+            rollouts: BTreeMap::new(),
+            revocations: BTreeSet::new(),
+            operations: Vec::new(),
+        }
+    }
+
+    /// Returns the record with a new file, at the next revision.
+    #[must_use]
+    pub fn with_file(&self, operation: OperationId, text: &str) -> Self {
+        let revision = self.file.map_or(0, |file| file.revision.0) + 1;
+        let file = FileRef::new(Revision(revision), text);
+        let mut next = self.next(operation, Outcome(file.digest));
+        next.file = Some(file);
+        next
+    }
+
+    /// Returns the record with members added and removed. Adding a member that is listed and
+    /// removing one that is not change nothing but the generation. An added member replaces
+    /// members with the same address, whose process must have ended.
+    #[must_use]
+    pub fn with_roster_change(
+        &self,
+        operation: OperationId,
+        added: &[Candidate],
+        removed: &BTreeSet<InstanceId>,
+    ) -> Self {
+        let outcome = Outcome(added.len() as u64 * 1000 + removed.len() as u64);
+        let mut next = self.next(operation, outcome);
+        let added: Vec<&Candidate> = added
+            .iter()
+            .filter(|candidate| self.member(candidate.instance).is_none())
+            .collect();
+        let leaves = |member: &Member| {
+            removed.contains(&member.instance)
+                || added.iter().any(|new| new.address == member.address)
+        };
+        let (left, stayed): (Vec<_>, Vec<_>) = self.roster.iter().cloned().partition(leaves);
+        next.roster = stayed;
+        next.roster.extend(added.iter().map(|candidate| Member {
+            instance: candidate.instance,
+            address: candidate.address,
+            failure_domain: candidate.failure_domain.clone(),
+            joined: next.generation,
+            witness: false,
+        }));
+        next.roster.sort_by_key(|member| member.instance);
+        next.add_departures(left);
+        witness::select(&mut next.roster);
+        next
+    }
+
+    /// Returns the record with the rollout at the stage.
+    #[must_use]
+    pub fn with_rollout_stage(
+        &self,
+        operation: OperationId,
+        rollout: RolloutId,
+        stage: RolloutStage,
+    ) -> Self {
+        let outcome = Outcome(xxh3_64(rollout.as_str().as_bytes()));
+        let mut next = self.next(operation, outcome);
+        next.rollouts.insert(rollout, stage);
+        next
+    }
+
+    /// Returns the record with the version revoked.
+    #[must_use]
+    pub fn with_revocation(
+        &self,
+        operation: OperationId,
+        service: ServiceName,
+        version: VersionName,
+    ) -> Self {
+        let outcome = Outcome(xxh3_64(version.as_str().as_bytes()));
+        let mut next = self.next(operation, outcome);
+        next.revocations.insert((service, version));
+        next
+    }
+
+    fn next(&self, operation: OperationId, outcome: Outcome) -> Self {
+        let mut next = self.clone();
+        next.generation = Generation(self.generation.0 + 1);
+        next.operations.push(Applied {
+            operation,
+            generation: next.generation,
+            outcome,
+        });
+        let surplus = next.operations.len().saturating_sub(MAX_OPERATIONS);
+        next.operations.drain(..surplus);
+        next
+    }
+
+    fn add_departures(&mut self, left: Vec<Member>) {
+        let generation = self.generation;
+        self.departures
+            .extend(left.into_iter().map(|member| Departure {
+                instance: member.instance,
+                failure_domain: member.failure_domain,
+                left: generation,
+            }));
+        let surplus = self.departures.len().saturating_sub(MAX_DEPARTURES);
+        if let Some(last) = self.departures.drain(..surplus).next_back() {
+            self.departures_after = last.left;
+        }
+    }
+
+    /// Returns the member, if the roster lists it.
+    #[must_use]
+    pub fn member(&self, instance: InstanceId) -> Option<&Member> {
+        let found = self
+            .roster
+            .binary_search_by_key(&instance, |member| member.instance);
+        found.ok().map(|position| &self.roster[position])
+    }
+
+    /// Iterates over the witnesses, by rank.
+    pub fn witnesses(&self) -> impl Iterator<Item = &Member> {
+        self.roster.iter().filter(|member| member.witness)
+    }
+
+    /// Returns the smallest number of witnesses that is a majority.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.witnesses().count() / 2 + 1
+    }
+
+    /// Returns what the operation did, if it was applied and is among the last ones.
+    #[must_use]
+    pub fn applied(&self, operation: OperationId) -> Option<&Applied> {
+        let mut operations = self.operations.iter();
+        operations.find(|applied| applied.operation == operation)
+    }
+
+    /// Returns every instance that was listed at any generation in `first..=last`, and possibly
+    /// some that joined and left in between, or `None` if the record does not reach back so far.
+    #[must_use]
+    pub fn listed_between(
+        &self,
+        first: Generation,
+        last: Generation,
+    ) -> Option<Vec<(InstanceId, &FailureDomain)>> {
+        if first < self.departures_after {
+            return None;
+        }
+        let staying = self.roster.iter().filter(|member| member.joined <= last);
+        let staying = staying.map(|member| (member.instance, &member.failure_domain));
+        let left = self.departures.iter().filter(|left| left.left > first);
+        let left = left.map(|left| (left.instance, &left.failure_domain));
+        Some(staying.chain(left).collect())
+    }
+}
