--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -1,8 +1,11 @@
-//! Data shared by all layers: ids, sizes, time, the operators' file.
+//! Data shared by all layers: ids, sizes, time, the operators' file, the control record.
 
+pub mod assignment;
 pub mod event;
 pub mod file;
 pub mod hlc;
 pub mod id;
+pub mod record;
 pub mod size;
 pub mod time;
+pub mod view;
