--- /dev/null
+++ b/lib/src/coordination/query/dispatch.rs
@@ -0,0 +1,329 @@
+//! Which call is sent when: first calls, hedges and retries.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Action;
+use super::Context;
+use super::Failure;
+use super::HOP_MARGIN;
+use super::Query;
+use super::Reason;
+use super::Send;
+use super::State;
+use super::random_position;
+use crate::coordination::correlation::Call;
+use crate::coordination::correlation::Kind;
+use crate::coordination::replica::Avoid;
+use crate::coordination::replica::LeafIndex;
+use crate::coordination::replica::Probing;
+
+/// Calls per shard and query, the first included.
+const MAX_SENDS: u8 = 4;
+
+/// How long a retry waits if there is no budget, or no replica but the one that just failed.
+const RETRY_WAIT: Duration = Duration::from_millis(5);
+
+/// A hedge without budget is tried again after this part of the hedge delay. By then most calls
+/// that were only a little late have been answered, and the budget goes to the stragglers.
+const HEDGE_AGAIN_DIVISOR: u32 = 4;
+
+impl<T> Query<T> {
+    /// Sends the canary call, or a first call to every shard.
+    pub(super) fn send_first(&mut self, context: &mut Context<'_>, actions: &mut Vec<Action<T>>) {
+        if self.canary.is_none() {
+            self.send_to_untried(context, actions);
+        }
+        self.finish_if_done(context, actions);
+    }
+
+    /// Sends the canary call unless it is in progress. It goes to any shard; if that shard is given
+    /// up, the next one is asked.
+    pub(super) fn send_canary(&mut self, context: &mut Context<'_>, actions: &mut Vec<Action<T>>) {
+        let mut open = self
+            .shards
+            .iter()
+            .filter(|shard| shard.state == State::Open);
+        if open.any(|shard| shard.sends > 0) || context.now >= self.call_deadline() {
+            return;
+        }
+        let count = self.shards.len();
+        let start = random_position(context.rng, count);
+        for position in (start..count).chain(0..start) {
+            if self.shards[position].state == State::Open
+                && self.send_primary(context, position, actions)
+            {
+                break;
+            }
+        }
+    }
+
+    fn send_to_untried(&mut self, context: &mut Context<'_>, actions: &mut Vec<Action<T>>) {
+        for position in 0..self.shards.len() {
+            let shard = &self.shards[position];
+            if shard.state == State::Open && shard.sends == 0 {
+                self.send_primary(context, position, actions);
+            }
+        }
+    }
+
+    fn send_primary(
+        &mut self,
+        context: &mut Context<'_>,
+        position: usize,
+        actions: &mut Vec<Action<T>>,
+    ) -> bool {
+        let Some(leaf) = self.choose(context, position, Avoid::default(), self.probing()) else {
+            self.give_up(position, Reason::NoReplica);
+            return false;
+        };
+        context.budget.on_primary(context.now);
+        self.send(context, position, leaf, Kind::Primary, actions);
+        true
+    }
+
+    /// A probe may be slow or fail, so it must be a call that can be made again.
+    fn probing(&self) -> Probing {
+        if self.idempotent && self.canary.is_none() {
+            Probing::Permitted
+        } else {
+            Probing::Forbidden
+        }
+    }
+
+    fn choose(
+        &self,
+        context: &mut Context<'_>,
+        position: usize,
+        avoid: Avoid,
+        probing: Probing,
+    ) -> Option<LeafIndex> {
+        let shard = self.shards[position].id;
+        let pin = self.merge.pin();
+        let now = context.now;
+        context
+            .replicas
+            .choose(shard, pin, avoid, probing, now, context.rng)
+    }
+
+    fn send(
+        &mut self,
+        context: &mut Context<'_>,
+        position: usize,
+        leaf: LeafIndex,
+        kind: Kind,
+        actions: &mut Vec<Action<T>>,
+    ) {
+        let deadline = self.call_deadline();
+        let hedge_delay = context
+            .hedge
+            .get()
+            .filter(|_| self.hedging && self.canary.is_none());
+        let shard = &mut self.shards[position];
+        let call = context.calls.begin(Call {
+            query: self.id,
+            position: u32::try_from(position).unwrap_or(u32::MAX),
+            leaf,
+            shard: shard.id,
+            kind,
+            sent: context.now,
+        });
+        context.replicas.on_sent(leaf);
+        shard.sends += 1;
+        shard.retry_at = None;
+        let free = usize::from(shard.calls[0].is_some());
+        shard.calls[free] = Some(call);
+        shard.hedge_at = match kind {
+            Kind::Primary | Kind::Retry => hedge_delay.map(|delay| context.now + delay),
+            Kind::Hedge => None,
+        };
+        let (shard_id, hedge_at) = (shard.id, shard.hedge_at);
+        self.wake_at(hedge_at);
+        actions.push(Action::Send(Send {
+            call,
+            leaf,
+            shard: shard_id,
+            kind,
+            deadline,
+            canary: self.canary,
+        }));
+    }
+
+    /// Ends the calls of a shard that has answered; after the canary's answer, asks all others.
+    pub(super) fn on_shard_answered(
+        &mut self,
+        context: &mut Context<'_>,
+        position: usize,
+        actions: &mut Vec<Action<T>>,
+    ) {
+        self.cancel_shard(context, position, actions);
+        self.shards[position].state = State::Answered;
+        self.open -= 1;
+        if self.canary.take().is_some() && context.now < self.call_deadline() {
+            self.send_to_untried(context, actions);
+        }
+        self.finish_if_done(context, actions);
+    }
+
+    /// Cancels the calls of a shard that are in flight. Each may have started.
+    pub(super) fn cancel_shard(
+        &mut self,
+        context: &mut Context<'_>,
+        position: usize,
+        actions: &mut Vec<Action<T>>,
+    ) {
+        let shard = &mut self.shards[position];
+        shard.hedge_at = None;
+        shard.retry_at = None;
+        for id in std::mem::take(&mut shard.calls).into_iter().flatten() {
+            let Some(call) = context.calls.abandon(id) else {
+                continue;
+            };
+            let elapsed = context.now.saturating_duration_since(call.sent);
+            context
+                .replicas
+                .on_cancelled(call.leaf, context.now, elapsed);
+            if call.kind == Kind::Primary {
+                context.hedge.record(context.now, elapsed);
+                if self.finished && context.now >= self.deadline {
+                    context.budget.on_primary_failure(context.now);
+                }
+            }
+            self.may_have_started = true;
+            actions.push(Action::Cancel(id));
+        }
+    }
+
+    /// Retries a shard after a failed call, or gives it up.
+    pub(super) fn after_failure(
+        &mut self,
+        context: &mut Context<'_>,
+        call: &Call,
+        failure: Failure,
+        actions: &mut Vec<Action<T>>,
+    ) {
+        if call.kind == Kind::Primary {
+            context.budget.on_primary_failure(context.now);
+        }
+        let position = call.position as usize;
+        let shard = &mut self.shards[position];
+        shard.failed_leaf = Some(call.leaf);
+        let in_flight = shard.calls.iter().flatten().count();
+        if in_flight == 0 {
+            shard.retry_is_resend = failure == Failure::NotSent;
+            self.last_reason = Reason::Failed(failure);
+            // A call that did not leave this side has not used up the one send.
+            if self.idempotent || failure == Failure::NotSent {
+                self.retry(context, position, actions);
+            } else {
+                self.give_up(position, Reason::Failed(failure));
+            }
+        }
+        self.finish_if_done(context, actions);
+    }
+
+    fn retry(&mut self, context: &mut Context<'_>, position: usize, actions: &mut Vec<Action<T>>) {
+        let shard = self.shards[position];
+        if shard.sends >= MAX_SENDS || context.now >= self.call_deadline() {
+            self.give_up(position, self.last_reason);
+            return;
+        }
+        let avoid = Avoid([shard.failed_leaf, None]);
+        let is_affordable = shard.retry_is_resend || context.budget.available() > 0;
+        let leaf = if is_affordable {
+            self.choose(context, position, avoid, Probing::Forbidden)
+        } else {
+            None
+        };
+        if let Some(leaf) = leaf {
+            if shard.retry_is_resend || context.budget.take() {
+                self.send(context, position, leaf, Kind::Retry, actions);
+            }
+        } else if !is_affordable {
+            self.retry_later(context, position);
+        } else if shard.failed_leaf.is_some() {
+            // The only replica left is the one that failed, if it is still usable.
+            self.shards[position].failed_leaf = None;
+            self.retry_later(context, position);
+        } else {
+            self.give_up(position, self.last_reason);
+        }
+    }
+
+    fn retry_later(&mut self, context: &Context<'_>, position: usize) {
+        let at = Some(context.now + RETRY_WAIT);
+        self.shards[position].retry_at = at;
+        self.wake_at(at);
+    }
+
+    /// Sends the hedges and retries that are due, and finds the time of the next.
+    pub(super) fn send_due(&mut self, context: &mut Context<'_>, actions: &mut Vec<Action<T>>) {
+        self.next_timer = None;
+        let count = self.shards.len();
+        let start = random_position(context.rng, count);
+        for step in 0..count {
+            let position = (start + step) % count;
+            let shard = &self.shards[position];
+            if shard.state != State::Open {
+                continue;
+            }
+            let is_due = |at: Option<Instant>| at.is_some_and(|at| at <= context.now);
+            if is_due(shard.retry_at) {
+                self.shards[position].retry_at = None;
+                self.retry(context, position, actions);
+            } else if is_due(shard.hedge_at) {
+                self.shards[position].hedge_at = None;
+                self.hedge(context, position, actions);
+            }
+            let shard = &self.shards[position];
+            let (hedge_at, retry_at) = (shard.hedge_at, shard.retry_at);
+            self.wake_at(hedge_at);
+            self.wake_at(retry_at);
+        }
+    }
+
+    fn hedge(&mut self, context: &mut Context<'_>, position: usize, actions: &mut Vec<Action<T>>) {
+        let shard = self.shards[position];
+        let mut in_flight = shard.calls.into_iter().flatten();
+        let (Some(first), None) = (in_flight.next(), in_flight.next()) else {
+            return;
+        };
+        if shard.sends >= MAX_SENDS || context.now >= self.call_deadline() {
+            return;
+        }
+        if context.budget.available() == 0 {
+            let delay = context.hedge.get().unwrap_or_default();
+            let at = context.now + (delay / HEDGE_AGAIN_DIVISOR).max(Duration::from_millis(1));
+            self.shards[position].hedge_at = Some(at);
+            return;
+        }
+        let asked = context.calls.get(first).map(|call| call.leaf);
+        let avoid = Avoid([asked, shard.failed_leaf]);
+        if let Some(leaf) = self.choose(context, position, avoid, Probing::Forbidden)
+            && context.budget.take()
+        {
+            self.send(context, position, leaf, Kind::Hedge, actions);
+        }
+    }
+
+    fn give_up(&mut self, position: usize, reason: Reason) {
+        let shard = &mut self.shards[position];
+        shard.state = State::GivenUp;
+        shard.hedge_at = None;
+        shard.retry_at = None;
+        self.open -= 1;
+        self.last_reason = reason;
+    }
+
+    pub(super) fn call_deadline(&self) -> Instant {
+        self.deadline
+            .checked_sub(HOP_MARGIN)
+            .unwrap_or(self.deadline)
+    }
+
+    fn wake_at(&mut self, at: Option<Instant>) {
+        if let Some(at) = at {
+            self.next_timer = Some(self.next_timer.map_or(at, |next| next.min(at)));
+        }
+    }
+}
