--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -1,16 +1,24 @@
 //! Decisions as plain state machines: typed input and a time go in, typed actions come out.
 
+pub mod admission;
+pub mod budget;
 pub mod call;
 pub mod control;
+pub mod correlation;
 pub mod currency;
 pub mod dispatch;
 pub mod drain;
 pub mod gossip;
+pub mod hedge;
 pub mod idempotency;
 pub mod limit;
 pub mod membership;
+pub mod merge;
 pub mod ownership;
+pub mod pin;
 pub mod poison;
 pub mod proposal;
+pub mod query;
+pub mod replica;
 pub mod shutdown;
 pub mod warmth;
