rollout: add shares, evidence, the verdict, the driver and conclusions

A rollout needs one state machine that all instances follow, and a judgement that holds at every look without a fixed sample size.

* The share is a hash of rollout and request key, so a request that moved stays moved.
* Evidence is counted per instance and share; a new share starts from zero, so a step is judged by requests of that step alone.
* The verdict multiplies e-variables for two proportions: one mixture detects that the new version is worse, one product proves that it is not worse by the step's tolerance.
Stated: 1 % false alarms per rollout, 5 % misses per step at the tolerance.
* An instance that was current at the deadline without a completion ignores any later one.
One that started later or was cut off cannot know and follows the record; otherwise every restart after the deadline would take a completed rollout back.

--- /dev/null
+++ b/lib/tests/rollout_driver.rs
@@ -0,0 +1,217 @@
+//! Tests of the driver's single decisions.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use camphorhold::coordination::rollout::Plan;
+use camphorhold::coordination::rollout::Reason;
+use camphorhold::coordination::rollout::SETTLE;
+use camphorhold::coordination::rollout::Stage;
+use camphorhold::coordination::rollout::conclusion::View;
+use camphorhold::coordination::rollout::driver::Action;
+use camphorhold::coordination::rollout::driver::DWELL;
+use camphorhold::coordination::rollout::driver::Driver;
+use camphorhold::coordination::rollout::driver::Input;
+use camphorhold::coordination::rollout::evidence::Counters;
+use camphorhold::coordination::rollout::evidence::Pair;
+use camphorhold::coordination::rollout::evidence::Pool;
+use camphorhold::coordination::rollout::evidence::Report;
+use camphorhold::coordination::rollout::evidence::Step;
+use camphorhold::state::id::InstanceId;
+use camphorhold::state::time::from_unix_millis;
+
+const START_MS: u64 = 1_000_000;
+const DEADLINE_MS: u64 = START_MS + 600_000;
+
+const NONE: [u16; 0] = [];
+
+fn driver() -> Driver {
+    Driver::new(Plan {
+        rollout: "move-1".parse().expect("a valid name"),
+        services: vec!["roster".parse().expect("a valid name")],
+        to: "v2".parse().expect("a valid name"),
+        deadline: from_unix_millis(DEADLINE_MS),
+    })
+}
+
+/// Returns evidence of one instance: 5,000 requests per version, with failures of the new one.
+fn evidence(sequence: u64, share_permille: u16, new_failures: u64) -> Pool {
+    let sound = Counters {
+        requests: 5_000 * sequence,
+        failures: 25 * sequence,
+        timed: 5_000 * sequence,
+        slow: 250 * sequence,
+    };
+    let new = Counters {
+        failures: sound.failures + new_failures,
+        ..sound
+    };
+    let routes = BTreeMap::from([(
+        "search".parse().expect("a valid name"),
+        Pair { old: sound, new },
+    )]);
+    let step = Step {
+        share_permille,
+        routes: BTreeMap::from([("roster".parse().expect("a valid name"), routes)]),
+    };
+    let report = Report {
+        sequence,
+        rollouts: BTreeMap::from([("move-1".parse().expect("a valid name"), step)]),
+    };
+    let mut pool = Pool::default();
+    pool.merge(InstanceId(1), &report);
+    pool
+}
+
+fn running(share_permille: u16) -> Stage {
+    Stage::Running {
+        share_permille,
+        since_unix_ms: START_MS,
+    }
+}
+
+fn input<'a>(stage: &'a Stage, evidence: &'a Pool, wall: SystemTime) -> Input<'a> {
+    Input {
+        wall,
+        view: View {
+            stage,
+            revoked: false,
+            current: true,
+        },
+        evidence,
+        driving: true,
+        rank: 0,
+        missed: false,
+    }
+}
+
+/// Returns the stages proposed.
+fn proposals(actions: &[Action]) -> Vec<Stage> {
+    let stage = |action: &Action| match action {
+        Action::ProposeStage { stage, .. } => Some(stage.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(stage).collect()
+}
+
+fn shares(actions: &[Action]) -> Vec<u16> {
+    proposals(actions)
+        .iter()
+        .map(Stage::share_permille)
+        .collect()
+}
+
+/// Guards against a fast climb at high load, where the proof takes less than a second.
+#[test]
+fn a_step_lasts_at_least_the_dwell_time() {
+    let mut driver = driver();
+    let (stage, evidence) = (running(10), evidence(1, 10, 0));
+    let begin = from_unix_millis(START_MS);
+    let early = begin + DWELL - Duration::from_millis(1);
+    assert_eq!(shares(&driver.tick(input(&stage, &evidence, early))), NONE);
+    let due = begin + DWELL;
+    assert_eq!(shares(&driver.tick(input(&stage, &evidence, due))), [50]);
+}
+
+/// Guards against a step without evidence.
+#[test]
+fn a_step_without_evidence_is_held() {
+    let mut driver = driver();
+    let (stage, evidence) = (running(10), Pool::default());
+    let late = from_unix_millis(START_MS) + DWELL * 20;
+    assert_eq!(shares(&driver.tick(input(&stage, &evidence, late))), NONE);
+}
+
+/// Guards against evidence of an earlier step that passes the present one.
+#[test]
+fn evidence_of_another_share_proves_nothing() {
+    let mut driver = driver();
+    let (stage, evidence) = (running(50), evidence(1, 10, 0));
+    let late = from_unix_millis(START_MS) + DWELL * 20;
+    assert_eq!(shares(&driver.tick(input(&stage, &evidence, late))), NONE);
+}
+
+/// Guards against a lost proposal that stops the rollout, and against proposals at every tick.
+#[test]
+fn a_proposal_is_repeated_after_its_timeout_only() {
+    let mut driver = driver();
+    let (stage, evidence) = (running(10), evidence(1, 10, 0));
+    let due = from_unix_millis(START_MS) + DWELL;
+    let at = |millis| due + Duration::from_millis(millis);
+    assert_eq!(shares(&driver.tick(input(&stage, &evidence, at(0)))), [50]);
+    assert_eq!(
+        shares(&driver.tick(input(&stage, &evidence, at(1_999)))),
+        NONE
+    );
+    assert_eq!(
+        shares(&driver.tick(input(&stage, &evidence, at(2_000)))),
+        [50]
+    );
+}
+
+/// Guards against a completion that not every instance learns before the deadline.
+#[test]
+fn no_completion_is_proposed_within_the_settling_time() {
+    let deadline = from_unix_millis(DEADLINE_MS);
+    let (stage, evidence) = (running(1000), evidence(1, 1000, 0));
+    let in_time = deadline - SETTLE - Duration::from_millis(1);
+    let actions = driver().tick(input(&stage, &evidence, in_time));
+    assert_eq!(proposals(&actions), [Stage::Completed]);
+    let actions = driver().tick(input(&stage, &evidence, deadline - SETTLE));
+    assert!(proposals(&actions).is_empty());
+}
+
+/// Guards against a rollout that nobody ends because its driver is paused.
+#[test]
+fn any_current_instance_takes_back_near_the_deadline() {
+    let deadline = from_unix_millis(DEADLINE_MS);
+    let (stage, evidence) = (running(200), Pool::default());
+    let taken_back = Stage::TakenBack {
+        reason: Reason::Deadline,
+    };
+    let mut standby = input(&stage, &evidence, deadline - SETTLE / 2);
+    standby.driving = false;
+    assert_eq!(proposals(&driver().tick(standby)), [taken_back]);
+    standby.view.current = false;
+    assert!(proposals(&driver().tick(standby)).is_empty());
+}
+
+/// Guards against a version that turns bad only after completion, with the old one still there.
+#[test]
+fn a_completed_rollout_is_still_judged() {
+    let mut driver = driver();
+    let history = evidence(1, 500, 0);
+    let wall = from_unix_millis(START_MS);
+    driver.tick(input(&running(500), &history, wall));
+    let sound = evidence(1, 1000, 0);
+    let actions = driver.tick(input(&Stage::Completed, &sound, wall));
+    assert!(proposals(&actions).is_empty());
+    let failing = evidence(2, 1000, 4_000);
+    let actions = driver.tick(input(&Stage::Completed, &failing, wall));
+    let revokes = |action: &Action| matches!(action, Action::Revoke { .. });
+    assert!(actions.iter().any(revokes), "{actions:?}");
+    assert!(
+        matches!(
+            proposals(&actions)[..],
+            [Stage::TakenBack {
+                reason: Reason::Failing { .. }
+            }]
+        ),
+        "{actions:?}"
+    );
+}
+
+/// Guards against a standby instance that acts on its own verdict.
+#[test]
+fn only_the_driving_instance_acts_on_a_verdict() {
+    let (stage, failing) = (running(200), evidence(1, 200, 4_000));
+    let wall = from_unix_millis(START_MS);
+    let mut standby = input(&stage, &failing, wall);
+    standby.driving = false;
+    let mut driver = driver();
+    let actions = driver.tick(standby);
+    assert!(matches!(actions[..], [Action::Event { .. }]), "{actions:?}");
+    standby.driving = true;
+    assert!(!proposals(&driver.tick(standby)).is_empty());
+}
