--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -20,5 +20,6 @@
 pub mod proposal;
 pub mod query;
 pub mod replica;
+pub mod rollout;
 pub mod shutdown;
 pub mod warmth;
