--- a/lib/src/coordination/idempotency/handover.rs
+++ b/lib/src/coordination/idempotency/handover.rs
@@ -55,18 +55,23 @@
 
 impl Window {
     /// Closes the window and returns it for the next owner. Requests still running have an unknown
-    /// outcome from here on. Earlier outcomes are still replayed; new keys are refused.
+    /// outcome from here on, at both owners. Earlier outcomes are still replayed; new keys are
+    /// refused.
     pub fn release(&mut self, generation: Generation) -> Handover {
         self.released = true;
-        let entries = self.entries.iter().map(|(key, entry)| {
-            let outcome = entry.outcome.clone().unwrap_or(Outcome::Unknown);
-            (key.clone(), entry.issued, outcome)
-        });
+        let mut entries = Vec::with_capacity(self.entries.len());
+        for (key, entry) in &mut self.entries {
+            if entry.outcome.is_none() {
+                self.bytes -= self.capacity.answer.0;
+            }
+            let outcome = entry.outcome.get_or_insert(Outcome::Unknown).clone();
+            entries.push((key.clone(), entry.issued, outcome));
+        }
         Handover {
             owner: self.owner,
             generation,
             complete_since: self.complete_since,
-            entries: entries.collect(),
+            entries,
         }
     }
 
--- /dev/null
+++ b/lib/tests/owner_parts.rs
@@ -0,0 +1,251 @@
+//! Tests of the parts of a leaf's owner: queue, limits, health reports, drain signals, shutdown.
+
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use camphorhold::coordination::call::CallId;
+use camphorhold::coordination::call::Caller;
+use camphorhold::coordination::drain;
+use camphorhold::coordination::drain::Signal;
+use camphorhold::coordination::drain::Source;
+use camphorhold::coordination::limit::InFlight;
+use camphorhold::coordination::limit::pool::MAX_OPENING;
+use camphorhold::coordination::limit::pool::Pool;
+use camphorhold::coordination::limit::queue::CALLS_PER_SLOT;
+use camphorhold::coordination::limit::queue::Queue;
+use camphorhold::coordination::limit::queue::Waiting;
+use camphorhold::coordination::shutdown;
+use camphorhold::coordination::shutdown::Shutdown;
+use camphorhold::coordination::warmth;
+use camphorhold::coordination::warmth::Health;
+use camphorhold::coordination::warmth::Temperature;
+use camphorhold::coordination::warmth::Warmth;
+use camphorhold::state::file::ColdStart;
+use camphorhold::state::id::LeafId;
+use camphorhold::state::id::ServerIncarnation;
+use camphorhold::state::size::Slots;
+use proptest::prelude::*;
+
+const DEADLINE: Duration = Duration::from_millis(120);
+
+fn waiting(call: u64, caller: u64) -> Waiting {
+    let expires = Instant::now() + DEADLINE;
+    Waiting::new(
+        CallId(call),
+        Caller(caller),
+        SystemTime::now(),
+        true,
+        expires,
+    )
+}
+
+fn fill(queue: &mut Queue, caller: u64) -> u64 {
+    let mut call = 0;
+    while queue.push(waiting(call, caller)).is_none() {
+        call += 1;
+    }
+    call
+}
+
+/// Guards against one caller keeping the others out of a full queue.
+#[test]
+fn a_full_queue_makes_room_for_another_caller() {
+    let mut queue = Queue::new(2, DEADLINE);
+    assert_eq!(fill(&mut queue, 1), u64::from(2 * CALLS_PER_SLOT));
+    let displaced = queue.push(waiting(1_000, 2));
+    assert_eq!(displaced.map(|call| call.caller), Some(Caller(1)));
+    let displaced = queue.push(waiting(1_001, 1));
+    assert_eq!(displaced.map(|call| call.call), Some(CallId(1_001)));
+}
+
+/// Guards against a heavy caller being served more often than a light one.
+#[test]
+fn waiting_callers_take_turns() {
+    let mut queue = Queue::new(2, DEADLINE);
+    for call in 0..20 {
+        assert_eq!(queue.push(waiting(call, 1)), None);
+    }
+    for call in 20..23 {
+        assert_eq!(queue.push(waiting(call, 2)), None);
+    }
+    let order = std::iter::from_fn(|| queue.pop());
+    let callers: Vec<u64> = order.map(|call| call.caller.0).take(7).collect();
+    assert_eq!(callers, [1, 2, 1, 2, 1, 2, 1]);
+}
+
+/// Guards against the limit falling to nothing, or collapsing on one burst of sheds.
+#[test]
+fn sheds_halve_the_limit_once_per_interval() {
+    let now = Instant::now();
+    let mut limit = InFlight::new(8);
+    limit.shed(now);
+    limit.shed(now);
+    assert_eq!(limit.limit(), 4);
+    for step in 1..10 {
+        limit.shed(now + Duration::from_secs(step));
+    }
+    assert_eq!(limit.limit(), 1);
+    for _ in 0..100 {
+        limit.answered();
+    }
+    assert_eq!(limit.limit(), 8);
+}
+
+/// Guards against a burst of connects, and against more than half of the leaf's connections.
+#[test]
+fn connects_are_bounded() {
+    let now = Instant::now();
+    let mut pool = Pool::new(7, 100);
+    let opened = std::iter::from_fn(|| pool.open(now)).count();
+    assert_eq!(opened, MAX_OPENING);
+    let mut pool = Pool::new(7, 100);
+    let mut all = 0;
+    while let Some(id) = pool.open(now) {
+        all += 1;
+        let connection = pool.get_mut(id).expect("it was just added");
+        connection.used = camphorhold::coordination::limit::pool::Use::Idle;
+    }
+    assert_eq!(all, 3);
+}
+
+fn cold_policy() -> warmth::Policy {
+    warmth::Policy {
+        cold_start: ColdStart {
+            concurrency: Slots(1),
+            duration: Duration::from_secs(1),
+            answers: 3,
+        },
+        slots: Slots(8),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x0d44),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a health endpoint that lies raising the limit of a leaf.
+    #[test]
+    fn health_reports_never_raise_the_limit(
+        steps in prop::collection::vec((0_u8..6, 1_u64..700), 1..80)
+    ) {
+        let mut now = Instant::now();
+        let mut plain = Warmth::new(cold_policy());
+        let mut told = plain.clone();
+        for (step, ms) in steps {
+            now += Duration::from_millis(ms);
+            let answer = |temperature| warmth::Answer {
+                epoch: plain.epoch(),
+                incarnation: ServerIncarnation(1),
+                temperature,
+                good: true,
+            };
+            let answer = match step {
+                0 => Some(answer(Temperature::Cold)),
+                1 | 2 => Some(answer(Temperature::Warm)),
+                3 => { told.health(Health::Well, now); None }
+                4 => { told.health(Health::Loaded, now); None }
+                _ => { told.health(Health::Unwell, now); None }
+            };
+            for warmth in [&mut plain, &mut told] {
+                if let Some(answer) = answer {
+                    warmth.answered(answer, false, now);
+                }
+                warmth.tick(now);
+            }
+            prop_assert!(told.limit(now) <= plain.limit(now));
+            prop_assert_eq!(told.state(), plain.state());
+        }
+    }
+}
+
+/// Guards against a leaf returning while one of several signals still stands.
+#[test]
+fn a_leaf_returns_when_no_signal_is_left() {
+    let now = Instant::now();
+    let mut status = drain::Status::default();
+    status.take(Signal::Leaving(Source::File), now);
+    status.take(Signal::Leaving(Source::Server), now);
+    status.take(Signal::Returned(Source::File), now);
+    assert_eq!(status.leaving(now), Some(Source::Server));
+    assert_eq!(status.leaving(now + drain::EXPIRY), None);
+    status.take(Signal::Leaving(Source::File), now);
+    assert_eq!(status.leaving(now + 2 * drain::EXPIRY), Some(Source::File));
+}
+
+/// Guards against a drain answer living for ever by being passed between instances.
+#[test]
+fn passed_on_drain_answers_keep_their_age() {
+    let now = Instant::now() + drain::EXPIRY;
+    let leaf: LeafId = "127.0.0.1:7001"
+        .parse()
+        .expect("a constant address is valid");
+    let mut table = drain::Table::default();
+    let (age, rest) = (Duration::from_mins(4), Duration::from_mins(6));
+    assert_eq!(age + rest, drain::EXPIRY);
+    table.learn(leaf, age, now);
+    assert_eq!(table.leaving(leaf, now), Some(Source::Server));
+    let passed: Vec<_> = table.drain_answers(now).collect();
+    assert_eq!(passed, [(leaf, age)]);
+    assert_eq!(table.leaving(leaf, now + rest), None);
+}
+
+/// Guards against a shutdown that cuts requests although all end in time.
+#[test]
+fn a_shutdown_waits_for_work_and_release() {
+    let now = Instant::now();
+    let mut shutdown = Shutdown::default();
+    let busy = shutdown::InFlight {
+        requests: 2,
+        leaf_calls: 5,
+    };
+    let mut handle = |input| shutdown.handle(input, now);
+    assert_eq!(handle(shutdown::Input::InFlight(busy)), []);
+    assert_eq!(
+        handle(shutdown::Input::Signal),
+        [shutdown::Action::TurnReadinessOff]
+    );
+    assert_eq!(
+        handle(shutdown::Input::BalancerWaitElapsed),
+        [shutdown::Action::RefuseNewWork]
+    );
+    assert_eq!(handle(shutdown::Input::Released), []);
+    let idle = shutdown::InFlight::default();
+    assert_eq!(
+        handle(shutdown::Input::InFlight(idle)),
+        [shutdown::Action::Release]
+    );
+    assert_eq!(
+        handle(shutdown::Input::Released),
+        [shutdown::Action::Exit { cut: 0 }]
+    );
+    assert_eq!(handle(shutdown::Input::Tick), []);
+}
+
+/// Guards against a shutdown that never ends because the balancer, a request or the release hangs.
+#[test]
+fn a_shutdown_ends_within_its_bound() {
+    let start = Instant::now();
+    for hanging in [0_u64, 3] {
+        let mut shutdown = Shutdown::default();
+        let in_flight = shutdown::InFlight {
+            requests: hanging,
+            leaf_calls: hanging,
+        };
+        shutdown.handle(shutdown::Input::InFlight(in_flight), start);
+        shutdown.handle(shutdown::Input::Signal, start);
+        let mut actions = Vec::new();
+        for second in 1..=shutdown::BOUND.as_secs() {
+            let now = start + Duration::from_secs(second);
+            actions.extend(shutdown.handle(shutdown::Input::Tick, now));
+        }
+        assert_eq!(shutdown.state(), shutdown::State::Closed);
+        assert_eq!(
+            actions.last(),
+            Some(&shutdown::Action::Exit { cut: hanging })
+        );
+    }
+}
