--- a/daemon/src/canary.rs
+++ b/daemon/src/canary.rs
@@ -106,17 +106,13 @@
         }
     }
 
-    /// Takes a crash under a request that was not a canary.
-    pub fn crashed(&self, fingerprint: Fingerprint) {
-        lock(&self.owned).crashed(fingerprint, SystemClock.now());
-        self.spread(fingerprint);
-    }
-
     /// Tells all instances how many servers a fingerprint has crashed.
     fn spread(&self, fingerprint: Fingerprint) {
         let now = SystemClock.now();
         let owned = lock(&self.owned);
-        let count = owned.counts(now).find(|(counted, ..)| *counted == fingerprint);
+        let count = owned
+            .counts(now)
+            .find(|(counted, ..)| *counted == fingerprint);
         if let (Some((_, crashes, _)), Some(control)) = (count, self.control.get()) {
             control.input(Input::FactObserved(Fact::Poison {
                 fingerprint,
--- a/daemon/src/control/instance_rpc.rs
+++ b/daemon/src/control/instance_rpc.rs
@@ -11,8 +11,8 @@
 use camphorhold::protocol::instance::Outcome;
 use camphorhold::state::id::Fingerprint;
 use jsonrpsee::Methods;
-use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::RegisterMethodError;
+use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::server::Server;
 use jsonrpsee::server::ServerConfig;
@@ -76,7 +76,11 @@
 }
 
 /// Joins the methods for other instances and those for operators.
-pub fn methods(parts: &Parts, handle: &Handle, operators: Operators) -> Result<Methods, ServeError> {
+pub fn methods(
+    parts: &Parts,
+    handle: &Handle,
+    operators: Operators,
+) -> Result<Methods, ServeError> {
     let instances = Instances {
         control: handle.clone(),
         canaries: Arc::clone(&parts.canaries),
@@ -98,6 +102,8 @@
         .max_response_body_size(MAX_MESSAGE_BYTES * 2)
         .http_only()
         .build();
-    let server = Server::builder().set_config(config).build_from_tcp(listener)?;
+    let server = Server::builder()
+        .set_config(config)
+        .build_from_tcp(listener)?;
     Ok(server.start(methods))
 }
--- a/daemon/src/control/operator_rpc.rs
+++ b/daemon/src/control/operator_rpc.rs
@@ -115,7 +115,11 @@
     }
 
     async fn status(&self) -> RpcResult<InstanceStatus> {
-        Ok(status(&self.control.view(), &self.leafs, &self.failure_domain))
+        Ok(status(
+            &self.control.view(),
+            &self.leafs,
+            &self.failure_domain,
+        ))
     }
 
     async fn rollouts(&self) -> RpcResult<RolloutsAnswer> {
@@ -131,7 +135,10 @@
     /// Tells the revision that an accepted file has.
     async fn accepted(&self, operation: OperationId, generation: Generation) -> ApplyAnswer {
         // The record of the accepted generation becomes visible here within one store read.
-        let applied = self.control.wait_for(|view| view.generation() >= generation).await;
+        let applied = self
+            .control
+            .wait_for(|view| view.generation() >= generation)
+            .await;
         let revision = match applied {
             Some(view) if view.generation() == generation => view.revision(),
             _ => match self.store.read(StoreRevision(0)).await {
@@ -164,7 +171,10 @@
 
     /// Tells what another operator changed.
     async fn conflict(&self, revision: Revision, before: &View) -> ApplyAnswer {
-        let after = self.control.wait_for(|view| view.revision() >= revision).await;
+        let after = self
+            .control
+            .wait_for(|view| view.revision() >= revision)
+            .await;
         let changes = match (&before.file, after.and_then(|view| view.file.clone())) {
             (Some(old), Some(new)) => file::difference(old, &new),
             _ => Vec::new(),
@@ -209,12 +219,10 @@
     let services = service_statuses(view, leafs, &mut room, &mut omitted);
     InstanceStatus {
         instance: view.instance,
-        failure_domain: view
-            .record
-            .roster
-            .iter()
-            .find(own)
-            .map_or_else(|| failure_domain.clone(), |member| member.failure_domain.clone()),
+        failure_domain: view.record.roster.iter().find(own).map_or_else(
+            || failure_domain.clone(),
+            |member| member.failure_domain.clone(),
+        ),
         generation: view.generation(),
         revision: view.revision(),
         currency: match view.currency {
@@ -261,11 +269,13 @@
         let Some(state) = leafs.state(leaf.id) else {
             continue;
         };
-        let status = services.entry(service.clone()).or_insert_with(|| ServiceStatus {
-            service: service.clone(),
-            in_flight: 0,
-            leafs: Vec::new(),
-        });
+        let status = services
+            .entry(service.clone())
+            .or_insert_with(|| ServiceStatus {
+                service: service.clone(),
+                in_flight: 0,
+                leafs: Vec::new(),
+            });
         status.in_flight += state.in_flight;
         if *room == 0 {
             *omitted += 1;
--- a/daemon/src/control/store.rs
+++ b/daemon/src/control/store.rs
@@ -44,7 +44,7 @@
             .read(&self.record_key(), newer_than.0.saturating_add(1))
             .await;
         let versioned = read.map_err(|error| failure("read the record", &error))?;
-        versioned.map(decode).transpose()
+        versioned.as_ref().map(decode).transpose()
     }
 
     pub async fn read_record(&self, request: StoreRequest, newer_than: StoreRevision) -> Input {
@@ -113,7 +113,7 @@
     StoreFailure
 }
 
-fn decode(versioned: Versioned) -> Result<Stored, StoreFailure> {
+fn decode(versioned: &Versioned) -> Result<Stored, StoreFailure> {
     match serde_json::from_slice(&versioned.value) {
         Ok(record) => Ok(Stored {
             record: Arc::new(record),
--- a/daemon/src/control/thread.rs
+++ b/daemon/src/control/thread.rs
@@ -107,7 +107,11 @@
         Client::new(parts.settings.store),
         parts.settings.store_prefix.clone(),
     );
-    let methods = instance_rpc::methods(&parts, &handle, operator_rpc::methods(&parts, &handle, &store));
+    let methods = instance_rpc::methods(
+        &parts,
+        &handle,
+        operator_rpc::methods(&parts, &handle, &store),
+    );
     let server = match methods.and_then(|methods| instance_rpc::serve(parts.listener, methods)) {
         Ok(server) => server,
         Err(error) => {
@@ -115,8 +119,11 @@
             return;
         }
     };
-    tokio::spawn(platform::watch(parts.settings.instance_list, handle.clone()));
-    let (released, mut releases) = mpsc::unbounded_channel();
+    tokio::spawn(platform::watch(
+        parts.settings.instance_list,
+        handle.clone(),
+    ));
+    let (released, mut outgoing) = mpsc::unbounded_channel();
     let mut thread = Thread {
         peers: Peers::new(Arc::clone(&parts.recorder)),
         recorder: parts.recorder,
@@ -136,7 +143,7 @@
                 Some(request) => thread.take(request),
                 None => break,
             },
-            Some((address, message)) = releases.recv() => thread.send(address, &message),
+            Some((address, message)) = outgoing.recv() => thread.send(address, &message),
             () = tokio::time::sleep_until(wakeup.into()) => thread.input(Input::Tick),
         }
     }
@@ -259,7 +266,10 @@
                 self.recorder.record(Kind::CurrencyRegained {}, subject);
             }
             Event::FileRejected(file) => {
-                log::error!("file revision {} in force cannot be parsed here", file.revision);
+                log::error!(
+                    "file revision {} in force cannot be parsed here",
+                    file.revision
+                );
             }
             Event::FactRejected(error) => log::error!("a fact was not spread: {error}"),
         }
--- a/daemon/src/entry/answer.rs
+++ b/daemon/src/entry/answer.rs
@@ -89,7 +89,11 @@
         .into_iter()
         .flat_map(|(_, hits)| hits)
         .collect();
-    hits.sort_by(|a, b| b.score.cmp(&a.score).then_with(|| a.document.cmp(&b.document)));
+    hits.sort_by(|a, b| {
+        b.score
+            .cmp(&a.score)
+            .then_with(|| a.document.cmp(&b.document))
+    });
     AnswerBody {
         request_id,
         outcome,
--- a/daemon/src/entry/gate.rs
+++ b/daemon/src/entry/gate.rs
@@ -115,7 +115,9 @@
     fn offer(&self, offer: &Offer, sender: oneshot::Sender<Result<(), Refusal>>) -> Ticket {
         let mut state = self.lock();
         let mut actions = std::mem::take(&mut state.actions);
-        let ticket = state.admission.offer(SystemClock.now(), offer, &mut actions);
+        let ticket = state
+            .admission
+            .offer(SystemClock.now(), offer, &mut actions);
         state.waiting.insert(ticket, sender);
         state.carry_out(actions);
         ticket
@@ -189,9 +191,10 @@
     /// Takes over a file. Admissions start anew only when tenants or the objective change.
     pub fn update(&self, file: &Arc<File>) {
         let mut inner = self.inner.write().unwrap_or_else(PoisonError::into_inner);
-        let unchanged = inner.file.as_ref().is_some_and(|old| {
-            old.tenants == file.tenants && old.objective == file.objective
-        });
+        let unchanged = inner
+            .file
+            .as_ref()
+            .is_some_and(|old| old.tenants == file.tenants && old.objective == file.objective);
         let weights: Vec<f64> = file.tenants.values().map(|tenant| tenant.weight).collect();
         let mut gates = HashMap::new();
         for name in file.services.keys() {
--- a/daemon/src/entry/lanes.rs
+++ b/daemon/src/entry/lanes.rs
@@ -136,7 +136,11 @@
     pub fn update(&self, view: &View) {
         let Some(file) = &view.file else { return };
         let now = SystemClock.now();
-        let old = self.lanes.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let old = self
+            .lanes
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         let mut lanes = HashMap::new();
         for (name, service) in &file.services {
             for (version, leafs) in &service.versions {
--- a/daemon/src/entry/mod.rs
+++ b/daemon/src/entry/mod.rs
@@ -39,6 +39,7 @@
 use camphorhold::state::view::View;
 use camphorhold::transport::peer::Forwarder;
 use serde::Serialize;
+use thiserror::Error;
 use volo_http::http::HeaderValue;
 use volo_http::http::StatusCode;
 use volo_http::http::header;
@@ -58,6 +59,7 @@
 use crate::canary::Permission;
 use crate::control::Handle;
 use crate::http::BodyError;
+use crate::http::empty;
 use crate::http::json;
 use crate::http::read_body;
 use crate::leaf::Pool;
@@ -113,34 +115,52 @@
 async fn serve(entry: &Arc<Entry>, request: Request) -> Response {
     let body = match read_request(request).await {
         Ok(body) => body,
-        Err(response) => return response,
+        Err(error) => return error.into(),
     };
     let entry = Arc::clone(entry);
     // The request goes on when its caller goes, so that its calls are accounted for.
     let task = tokio::spawn(async move { entry.handle(body, 1).await });
     task.await
-        .unwrap_or_else(|_| empty_error(StatusCode::INTERNAL_SERVER_ERROR))
+        .unwrap_or_else(|_| empty(StatusCode::INTERNAL_SERVER_ERROR))
 }
 
 /// Serves another instance that is not the owner of the request's idempotency key.
 pub async fn serve_once(entry: &Arc<Entry>, request: Request) -> Response {
     let body = match read_request(request).await {
         Ok(body) => body,
-        Err(response) => return response,
+        Err(error) => return error.into(),
     };
     let entry = Arc::clone(entry);
     let task = tokio::spawn(async move { entry.handle(body, 0).await });
     task.await
-        .unwrap_or_else(|_| empty_error(StatusCode::INTERNAL_SERVER_ERROR))
+        .unwrap_or_else(|_| empty(StatusCode::INTERNAL_SERVER_ERROR))
 }
 
-async fn read_request(request: Request) -> Result<RequestBody, Response> {
-    let body = read_body(request.into_body(), MAX_REQUEST_BYTES).await;
-    let body = body.map_err(|error| match error {
-        BodyError::TooLong => reject(StatusCode::PAYLOAD_TOO_LARGE, &error),
-        BodyError::Incomplete => reject(StatusCode::BAD_REQUEST, &error),
-    })?;
-    serde_json::from_slice(&body).map_err(|error| reject(StatusCode::BAD_REQUEST, &error))
+/// Why a request cannot be read.
+#[derive(Debug, Error)]
+enum ReadError {
+    /// The body did not arrive.
+    #[error(transparent)]
+    Body(#[from] BodyError),
+    /// The body is no request.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+}
+
+impl From<ReadError> for Response {
+    fn from(error: ReadError) -> Self {
+        match error {
+            ReadError::Body(BodyError::TooLong) => reject(StatusCode::PAYLOAD_TOO_LARGE, &error),
+            ReadError::Body(BodyError::Incomplete) | ReadError::Json(_) => {
+                reject(StatusCode::BAD_REQUEST, &error)
+            }
+        }
+    }
+}
+
+async fn read_request(request: Request) -> Result<RequestBody, ReadError> {
+    let body = read_body(request.into_body(), MAX_REQUEST_BYTES).await?;
+    Ok(serde_json::from_slice(&body)?)
 }
 
 fn reject(status: StatusCode, error: &impl std::fmt::Display) -> Response {
@@ -149,10 +169,6 @@
     json(status, &Rejection { error })
 }
 
-fn empty_error(status: StatusCode) -> Response {
-    crate::http::empty(status)
-}
-
 impl Entry {
     pub fn new(
         control: Handle,
@@ -186,7 +202,7 @@
             if let Some(file) = &view.file {
                 self.gates.update(file);
                 self.lanes.update(&view);
-                self.set_capacities(&view, file);
+                self.set_capacities(file);
             }
             if views.changed().await.is_err() {
                 return;
@@ -209,9 +225,9 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    fn set_capacities(&self, view: &View, file: &File) {
+    fn set_capacities(&self, file: &File) {
         for (name, service) in &file.services {
-            let version = self.serving(view, name, service);
+            let version = service.serving.clone();
             let Some(lane) = self.lanes.get(name, &version) else {
                 continue;
             };
@@ -220,18 +236,11 @@
         }
     }
 
-    fn serving(
-        &self,
-        _view: &View,
-        _name: &camphorhold::state::id::ServiceName,
-        service: &Service,
-    ) -> VersionName {
-        service.serving.clone()
-    }
-
     async fn handle(&self, mut body: RequestBody, hops: u32) -> Response {
         // The id goes along when the request is forwarded.
-        let id = body.request_id.get_or_insert_with(|| RequestId(rand::random()).to_string());
+        let id = body
+            .request_id
+            .get_or_insert_with(|| RequestId(rand::random()).to_string());
         log::trace!("request {id}");
         let request = match CallerRequest::try_from(body.clone()) {
             Ok(request) => request,
@@ -239,7 +248,7 @@
         };
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         let _in_flight = InFlight(&self.in_flight);
-        if let Err(response) = self.check(&request) {
+        if let Some(response) = self.obstacle(&request) {
             return response;
         }
         let subject = Subject {
@@ -247,7 +256,8 @@
             service: Some(request.service.clone()),
             ..Subject::default()
         };
-        self.recorder.record(Kind::RequestAdmitted {}, subject.clone());
+        self.recorder
+            .record(Kind::RequestAdmitted {}, subject.clone());
         let answer = match &request.idempotency {
             Some(idempotency) => once::run(self, &body, &request, idempotency, hops).await,
             None => self.search(&request, true).await,
@@ -256,60 +266,54 @@
         respond(&answer)
     }
 
-    /// Checks a request against the file in force.
-    fn check(&self, request: &CallerRequest) -> Result<(), Response> {
+    /// Checks a request against the file in force. Returns a response if it does not run.
+    fn obstacle(&self, request: &CallerRequest) -> Option<Response> {
         let id = request.request_id.unwrap_or_default();
         if !self.takes_work.load(Ordering::Relaxed) {
-            return Err(respond(&answer::not_run(id, &Refusal::ShuttingDown)));
+            return Some(respond(&answer::not_run(id, &Refusal::ShuttingDown)));
         }
         let view = self.control.view();
         if !view.may_act(SystemClock.now()) {
-            return Err(respond(&answer::not_run(id, &Refusal::CurrencyLost)));
+            return Some(respond(&answer::not_run(id, &Refusal::CurrencyLost)));
         }
         let Some(file) = &view.file else {
-            return Err(respond(&answer::not_run(id, &Refusal::NoFile)));
+            return Some(respond(&answer::not_run(id, &Refusal::NoFile)));
         };
         let Some(service) = file.services.get(&request.service) else {
-            return Err(reject(StatusCode::NOT_FOUND, &"the service is unknown"));
+            return Some(reject(StatusCode::NOT_FOUND, &"the service is unknown"));
         };
         let permitted = service.tenants.is_empty() || service.tenants.contains(&request.tenant);
         if !file.tenants.contains_key(&request.tenant) || !permitted {
-            return Err(reject(
-                StatusCode::FORBIDDEN,
-                &"the tenant may not call the service",
-            ));
+            let error = "the tenant may not call the service";
+            return Some(reject(StatusCode::FORBIDDEN, &error));
         }
         let known = |shard: &ShardId| shard.0 < service.shards;
         match &request.scope {
             Some(scope) if scope.is_empty() || !scope.iter().all(known) => {
                 let error = format!("scope must name shards from 0 to {}", service.shards - 1);
-                Err(reject(StatusCode::BAD_REQUEST, &error))
+                Some(reject(StatusCode::BAD_REQUEST, &error))
             }
-            _ => Ok(()),
+            _ => None,
         }
     }
 
-    /// Returns how long a request may take.
-    fn time_limit(&self, view: &View, request: &CallerRequest) -> Duration {
-        let service = view.file.as_ref().and_then(|file| file.services.get(&request.service));
-        let longest = service.map_or(Duration::ZERO, |service| service.deadline);
-        request.deadline.map_or(longest, |deadline| deadline.min(longest))
-    }
-
     /// Runs a checked request.
     async fn search(&self, request: &CallerRequest, idempotent: bool) -> AnswerBody {
         let id = request.request_id.unwrap_or_default();
         let view = self.control.view();
-        let service = view.file.as_ref().and_then(|file| file.services.get(&request.service));
+        let service = view
+            .file
+            .as_ref()
+            .and_then(|file| file.services.get(&request.service));
         let Some(service) = service else {
             return answer::not_run(id, &Refusal::NoFile);
         };
-        let limit = self.time_limit(&view, request);
+        let limit = time_limit(&view, request);
         let started = SystemClock.now();
         let plan = Plan {
             deadline: started + limit,
             deadline_wall: SystemClock.wall() + limit,
-            version: self.serving(&view, &request.service, service),
+            version: service.serving.clone(),
             scope: scope(request, service),
             idempotent,
         };
@@ -448,6 +452,16 @@
     idempotent: bool,
 }
 
+/// Returns how long a request may take.
+fn time_limit(view: &View, request: &CallerRequest) -> Duration {
+    let file = view.file.as_ref();
+    let service = file.and_then(|file| file.services.get(&request.service));
+    let longest = service.map_or(Duration::ZERO, |service| service.deadline);
+    request
+        .deadline
+        .map_or(longest, |deadline| deadline.min(longest))
+}
+
 fn scope(request: &CallerRequest, service: &Service) -> Vec<ShardId> {
     match &request.scope {
         Some(scope) => scope.clone(),
@@ -465,7 +479,11 @@
         snapshot: pin.snapshot,
         partition: pin.partition,
         query: request.query.clone(),
-        deadline_unix_ms: unix_millis(plan.deadline_wall.checked_sub(hop).unwrap_or(plan.deadline_wall)),
+        deadline_unix_ms: unix_millis(
+            plan.deadline_wall
+                .checked_sub(hop)
+                .unwrap_or(plan.deadline_wall),
+        ),
         idempotency_key: request.idempotency.as_ref().map(|once| once.key.clone()),
     }
 }
@@ -488,7 +506,9 @@
         Outcome::Answered => json(StatusCode::OK, answer),
         Outcome::NotRun => {
             let mut response = json(StatusCode::SERVICE_UNAVAILABLE, answer);
-            response.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER);
+            response
+                .headers_mut()
+                .insert(header::RETRY_AFTER, RETRY_AFTER);
             response
         }
         Outcome::Unknown => json(StatusCode::GATEWAY_TIMEOUT, answer),
--- a/daemon/src/entry/once.rs
+++ b/daemon/src/entry/once.rs
@@ -38,6 +38,7 @@
 use super::Entry;
 use super::answer;
 use super::answer::Refusal;
+use super::time_limit;
 
 /// How often a resend looks whether the first send has ended.
 const WAIT_INTERVAL: Duration = Duration::from_millis(5);
@@ -103,10 +104,12 @@
     ) -> Option<idempotency::Outcome> {
         let mut windows = self.lock();
         let window = windows.get_mut(&owned.began)?;
-        window.finish(&idempotency.key, end).unwrap_or_else(|error| {
-            log::error!("cannot note the end of {}: {error}", idempotency.key);
-            Some(idempotency::Outcome::Unknown)
-        })
+        window
+            .finish(&idempotency.key, end)
+            .unwrap_or_else(|error| {
+                log::error!("cannot note the end of {}: {error}", idempotency.key);
+                Some(idempotency::Outcome::Unknown)
+            })
     }
 }
 
@@ -171,7 +174,7 @@
     owned: &Owned,
 ) -> AnswerBody {
     let id = request.request_id.unwrap_or_default();
-    let limit = entry.time_limit(view, request);
+    let limit = time_limit(view, request);
     let deadline = SystemClock.now() + limit;
     if owned.ready_at > deadline {
         // An earlier owner may have run the key, and may still be running it.
--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -148,9 +148,9 @@
         let mut context = lane.context(SystemClock.now());
         match refusal(answer.status) {
             None => {
-                let result =
-                    self.query
-                        .on_answer(&mut context, &received, answer.hits, actions);
+                let result = self
+                    .query
+                    .on_answer(&mut context, &received, answer.hits, actions);
                 if let Err(unused) = result {
                     log::debug!("an answer was not used: {unused}");
                     metrics::counter!("camphorhold_answers_unused_total").increment(1);
@@ -197,7 +197,9 @@
             CallKind::Primary => metrics::counter!("camphorhold_calls_primary_total").increment(1),
             CallKind::Hedge => {
                 metrics::counter!("camphorhold_calls_hedge_total").increment(1);
-                self.sender.recorder.record(Kind::Hedged {}, self.subject.clone());
+                self.sender
+                    .recorder
+                    .record(Kind::Hedged {}, self.subject.clone());
             }
             CallKind::Retry => {
                 metrics::counter!("camphorhold_calls_retry_total").increment(1);
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -29,10 +29,9 @@
 pub async fn read_body(body: Body, limit: usize) -> Result<Bytes, BodyError> {
     let collected = Limited::new(body, limit).collect();
     match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-        Err(_) => Err(BodyError::Incomplete),
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
-        Ok(Err(_)) => Err(BodyError::Incomplete),
+        Ok(Err(_)) | Err(_) => Err(BodyError::Incomplete),
     }
 }
 
--- a/daemon/src/leaf/actor.rs
+++ b/daemon/src/leaf/actor.rs
@@ -219,7 +219,10 @@
     /// Takes what the control thread published; tells whether this instance owns the leaf.
     fn take_view(&mut self, view: &View) -> bool {
         if let Some(file) = &view.file
-            && !self.file.as_ref().is_some_and(|known| Arc::ptr_eq(known, file))
+            && !self
+                .file
+                .as_ref()
+                .is_some_and(|known| Arc::ptr_eq(known, file))
         {
             self.file = Some(Arc::clone(file));
             self.take_file(&Arc::clone(file));
@@ -246,7 +249,8 @@
 
     fn take_file(&mut self, file: &File) {
         let leaf = file.leafs().find(|(_, _, leaf)| leaf.id == self.leaf);
-        let out = leaf.is_none_or(|(_, _, leaf)| leaf.leaving || !file.in_service(&leaf.failure_domain));
+        let out =
+            leaf.is_none_or(|(_, _, leaf)| leaf.leaving || !file.in_service(&leaf.failure_domain));
         let signal = if out {
             Signal::Leaving(Source::File)
         } else {
@@ -313,7 +317,7 @@
         let mut actions = std::mem::take(&mut self.actions);
         self.machine.handle(input, now, wall, &mut actions);
         for action in actions.drain(..) {
-            self.carry_out(action);
+            self.carry_out(&action);
         }
         self.actions = actions;
         *self.state.lock().unwrap_or_else(PoisonError::into_inner) = State {
@@ -323,8 +327,8 @@
         };
     }
 
-    fn carry_out(&mut self, action: Action) {
-        match action {
+    fn carry_out(&mut self, action: &Action) {
+        match *action {
             Action::Write {
                 connection,
                 call,
@@ -341,7 +345,10 @@
             }
             Action::Complete { call, .. } => {
                 let answer = self.answer.take();
-                self.finish(call, answer.map_or(Err(Failure::Invalid), |answer| Ok(*answer)));
+                self.finish(
+                    call,
+                    answer.map_or(Err(Failure::Invalid), |answer| Ok(*answer)),
+                );
             }
             Action::Refuse { call, reason } => {
                 metrics::counter!("camphorhold_leaf_refusals_total").increment(1);
@@ -349,7 +356,10 @@
             }
             Action::Fail { call, cause } => self.finish(call, Err(failure(cause))),
             Action::SuspectCrash { call } => {
-                log::warn!("leaf {} lost its connection while it ran call {call}", self.leaf);
+                log::warn!(
+                    "leaf {} lost its connection while it ran call {call}",
+                    self.leaf
+                );
                 metrics::counter!("camphorhold_leaf_crash_suspicions_total").increment(1);
             }
             Action::OpenConnection { connection } => self.open(connection),
--- a/daemon/src/leaf/connection.rs
+++ b/daemon/src/leaf/connection.rs
@@ -138,12 +138,11 @@
         }
         Order::Cancel(call) => {
             let correlation = call.to_string().into();
-            match connection.cancel(&Cancel { correlation }).await {
-                Ok(()) => report(Event::CancelAnswered),
-                Err(_) => {
-                    report(Event::Lost);
-                    false
-                }
+            if connection.cancel(&Cancel { correlation }).await.is_ok() {
+                report(Event::CancelAnswered)
+            } else {
+                report(Event::Lost);
+                false
             }
         }
     }
--- a/daemon/src/leaf/mod.rs
+++ b/daemon/src/leaf/mod.rs
@@ -22,10 +22,10 @@
 use camphorhold::state::view::View;
 use tokio::sync::mpsc;
 
-pub use self::actor::Job;
-pub use self::actor::State;
 use self::actor::Command;
 use self::actor::Environment;
+pub use self::actor::Job;
+pub use self::actor::State;
 use self::actor::Target;
 use crate::control::Handle;
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -23,22 +23,22 @@
 fn main() -> ExitCode {
     let settings = match Settings::read() {
         Ok(settings) => settings,
-        Err(error) => return fail(Report::new(error)),
+        Err(error) => return fail(&Report::new(error)),
     };
     let logger = flexi_logger::Logger::try_with_str(&*settings.log)
         .map(|logger| logger.format(flexi_logger::json_format))
         .and_then(flexi_logger::Logger::start);
     let _logger = match logger {
         Ok(logger) => logger,
-        Err(error) => return fail(miette::miette!("cannot log: {error}")),
+        Err(error) => return fail(&miette::miette!("cannot log: {error}")),
     };
     match process::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(Report::new(error)),
+        Err(error) => fail(&Report::new(error)),
     }
 }
 
-fn fail(report: Report) -> ExitCode {
+fn fail(report: &Report) -> ExitCode {
     eprintln!("{report:?}");
     ExitCode::from(EXIT_BAD_SETTINGS)
 }
--- a/daemon/src/peer.rs
+++ b/daemon/src/peer.rs
@@ -145,7 +145,10 @@
     }
 }
 
-type NextFrame = Option<(Result<Frame<bytes::Bytes>, volo_http::error::BoxError>, Batch)>;
+type NextFrame = Option<(
+    Result<Frame<bytes::Bytes>, volo_http::error::BoxError>,
+    Batch,
+)>;
 
 /// Waits for the next result, and takes what else is there into the same frame.
 async fn next_frame(mut batch: Batch) -> NextFrame {
@@ -181,7 +184,9 @@
         let batches = peers.lock();
         let known = batches.get(&batch);
         let known = known.into_iter().flat_map(|known| {
-            calls.iter().filter_map(move |call| known.get(call).copied())
+            calls
+                .iter()
+                .filter_map(move |call| known.get(call).copied())
         });
         known.collect()
     };
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -161,7 +161,10 @@
     let peers = Arc::new(Peers::new(Arc::clone(&leafs)));
     start(entry::router(Arc::clone(&entry)), listeners.callers)?;
     start(peer::router(peers, Arc::clone(&entry)), listeners.peers)?;
-    start(admin::router(Arc::clone(&readiness), metrics), listeners.admin)?;
+    start(
+        admin::router(Arc::clone(&readiness), metrics),
+        listeners.admin,
+    )?;
     let instance = Instance {
         control,
         entry,
--- a/daemon/src/timeline.rs
+++ b/daemon/src/timeline.rs
@@ -41,7 +41,10 @@
 
     /// Names the instance that later events belong to.
     pub fn set_instance(&self, instance: InstanceId) {
-        *self.instance.write().unwrap_or_else(PoisonError::into_inner) = instance;
+        *self
+            .instance
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = instance;
     }
 
     /// Returns the instance that events belong to.
--- a/lib/src/coordination/control/apply.rs
+++ b/lib/src/coordination/control/apply.rs
@@ -307,7 +307,10 @@
             phase: self.phase,
             record: self.applied.clone(),
             file: self.file.clone(),
-            file_text: self.applied.file.and_then(|file| self.body.get(file).cloned()),
+            file_text: self
+                .applied
+                .file
+                .and_then(|file| self.body.get(file).cloned()),
             ownership: self.table.clone(),
             currency,
             valid_until,
