--- a/testutils/src/backend/leaf.rs
+++ b/testutils/src/backend/leaf.rs
@@ -123,7 +123,8 @@
     cancel: watch::Sender<bool>,
 }
 
-/// A call in flight. It leaves the leaf's books when it is answered or its connection closes.
+/// A call in flight. Dropping it, after the answer or when the connection closes, removes it from
+/// the leaf's state.
 struct InFlight<'a> {
     leaf: &'a Leaf,
     number: u64,
@@ -424,7 +425,7 @@
         }
         tokio::select! {
             biased;
-            // The sender stays in the books of the leaf until `call` is dropped.
+            // The leaf's state holds the sender until `call` is dropped, so the wait cannot fail.
             _ = call.cancelled.wait_for(|cancelled| *cancelled) => return Some(Status::Failed),
             () = tokio::time::sleep(time) => {}
         }
@@ -539,7 +540,7 @@
 
     fn health(&self) -> Health {
         let state = lock(&self.state);
-        let lie = &state.fault.false_health;
+        let reported = &state.fault.false_health;
         let load = f64::from(state.counters.in_flight) / f64::from(self.model.slots);
         let truth = match state.fault.lifecycle {
             Lifecycle::Serving => "serving",
@@ -547,8 +548,8 @@
         };
         Health {
             incarnation: state.incarnation,
-            load: lie.load.unwrap_or(load),
-            state: lie.state.clone().unwrap_or_else(|| truth.into()),
+            load: reported.load.unwrap_or(load),
+            state: reported.state.clone().unwrap_or_else(|| truth.into()),
         }
     }
 }
--- a/testutils/src/backend/model.rs
+++ b/testutils/src/backend/model.rs
@@ -164,7 +164,7 @@
     pub slow_factor: f64,
 }
 
-/// A health endpoint that lies.
+/// Untrue values that the health endpoint reports.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FalseHealth {
--- a/testutils/src/store/engine.rs
+++ b/testutils/src/store/engine.rs
@@ -459,7 +459,7 @@
         }
     }
 
-    /// Ends a change: raises the revision if anything was recorded, and tells the watches.
+    /// Ends a change: raises the revision if anything was recorded, and notifies the watches.
     fn commit(&mut self) {
         let next = self.revision + 1;
         let changes = self.events.iter().rev();
--- a/testutils/tests/backend.rs
+++ b/testutils/tests/backend.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use camphorhold_testutils::backend::Answer;
 use camphorhold_testutils::backend::Backend;
@@ -29,6 +30,7 @@
 use serde_json::json;
 
 use self::common::ANY;
+use self::common::limited;
 use self::common::until;
 
 /// A service time that no test waits for.
@@ -65,7 +67,8 @@
 }
 
 async fn call(address: SocketAddr, search: Value) -> Answer {
-    let (status, answer) = client::post(address, "/search", &search).await.unwrap();
+    let answered = limited(client::post(address, "/search", &search)).await;
+    let (status, answer) = answered.unwrap();
     assert_eq!(status, 200, "{answer}");
     serde_json::from_value(answer).unwrap()
 }
@@ -75,7 +78,7 @@
     search: Value,
 ) -> tokio::task::JoinHandle<Result<Value, client::Error>> {
     tokio::spawn(async move {
-        let (_, answer) = client::post(address, "/search", &search).await?;
+        let (_, answer) = limited(client::post(address, "/search", &search)).await?;
         Ok(answer)
     })
 }
@@ -208,6 +211,7 @@
     );
     let seen = counters(&backend);
     assert!(seen.executions.is_empty());
+    assert_eq!(seen.max_in_flight, 0);
     assert_eq!((seen.misrouted, seen.received), (1, 6));
 
     backend.change(&change(Fault::default()));
@@ -245,6 +249,45 @@
     assert_eq!(counters(&backend).cancelled, 2);
 }
 
+/// Guards against a call that is started after its deadline has passed while it waited.
+#[tokio::test]
+async fn a_deadline_that_passes_in_the_queue_stops_the_start() {
+    let model = Model {
+        slots: 1,
+        queue_wait: Duration::from_hours(1),
+        ..warm()
+    };
+    let (backend, address) = start(Model {
+        service_time: ENDLESS,
+        ..model
+    })
+    .await;
+    let blocking = spawn(address, search(1, "a"));
+    until("one call runs", async || counters(&backend).in_flight == 1).await;
+    let unix_ms = || {
+        SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap()
+            .as_millis()
+    };
+    let deadline = u64::try_from(unix_ms()).unwrap() + 50;
+    let mut late = search(2, "a");
+    late["deadline_unix_ms"] = json!(deadline);
+    late["idempotency_key"] = json!("k");
+    let waiting = spawn(address, late);
+    until("the deadline has passed", async || {
+        unix_ms() > u128::from(deadline)
+    })
+    .await;
+    until("the call has arrived", async || {
+        counters(&backend).received == 2
+    })
+    .await;
+    blocking.abort();
+    assert_eq!(waiting.await.unwrap().unwrap()["status"], "not_started");
+    assert!(counters(&backend).executions.is_empty());
+}
+
 /// Guards against a crash that answers, keeps connections or keeps the incarnation.
 #[tokio::test]
 async fn a_marked_query_crashes_the_leaf() {
--- a/testutils/tests/store.rs
+++ b/testutils/tests/store.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 
 use self::common::ANY;
+use self::common::limited;
 use self::common::until;
 
 fn encode(text: &str) -> String {
@@ -191,7 +192,7 @@
     .await;
     assert!(!hanging.is_finished());
     store.set_fault(Fault::default());
-    let released = hanging.await.unwrap();
+    let released = limited(hanging).await.unwrap();
     assert!(
         matches!(released, Err(client::Error::Unanswered(_))),
         "{released:?}"
@@ -230,7 +231,7 @@
         .await;
     let mut body = response.unwrap().into_body();
     let mut next = async || {
-        let frame = body.frame().await.unwrap().unwrap();
+        let frame = limited(body.frame()).await.unwrap().unwrap();
         serde_json::from_slice::<Value>(frame.data_ref().unwrap()).unwrap()
     };
     assert_eq!(next().await["result"]["created"], true);
