coordination: fuzz restarts without resets, and let the fake server warm up in time

The fake server re-evaluated its cold start only at an answer, so it stayed cold after 4 answers and 300 ms while the owner was right to ramp.

Change: the fake server warms up as time passes; the case is a named test. Restarts can now leave the old connections silent instead of resetting them.

--- a/lib/tests/owner_fuzz.rs
+++ b/lib/tests/owner_fuzz.rs
@@ -92,3 +92,31 @@
     assert!(world.most_running() > world::COLD_LIMIT);
     world.finish();
 }
+
+/// Guards against the fake server staying cold after its answers and its time are complete, which
+/// blamed a correct owner. Found with `PROPTEST_CASES=20000 PROPTEST_RNG_SEED=2`.
+#[test]
+fn a_server_warms_up_between_answers() {
+    let mut world = World::new([0; 4]);
+    let submit = |count, deadline_ms| Transition::Submit {
+        instance: 0,
+        count,
+        deadline_ms,
+        idempotent: false,
+    };
+    let restart = Transition::Restart {
+        lies: true,
+        resets: true,
+    };
+    world.apply(Transition::Cut { instance: 0 });
+    world.apply(Transition::Handover { to: 1 });
+    world.apply(restart);
+    world.apply(submit(4, 220));
+    world.apply(Transition::Serve { rounds: 13 });
+    world.apply(submit(2, 20));
+    world.apply(Transition::Deliver {
+        instance: 0,
+        count: 1,
+    });
+    world.finish();
+}
--- a/lib/tests/owner_fuzz/config.rs
+++ b/lib/tests/owner_fuzz/config.rs
@@ -13,7 +13,7 @@
         cases: from_environment("PROPTEST_CASES").unwrap_or(cases),
         rng_seed: RngSeed::Fixed(from_environment("PROPTEST_RNG_SEED").unwrap_or(seed)),
         failure_persistence: None,
-        max_shrink_iters: 20_000,
+        max_shrink_iters: from_environment("PROPTEST_MAX_SHRINK_ITERS").unwrap_or(20_000),
         ..Config::default()
     }
 }
--- a/lib/tests/owner_fuzz/network.rs
+++ b/lib/tests/owner_fuzz/network.rs
@@ -235,9 +235,11 @@
         }
     }
 
-    pub(super) fn restart(&mut self, lies: bool) {
+    pub(super) fn restart(&mut self, lies: bool, resets: bool) {
         for (instance, connection) in self.server.restart(lies, self.time) {
-            self.send((instance, connection), Input::ConnectionLost { connection });
+            if resets {
+                self.send((instance, connection), Input::ConnectionLost { connection });
+            }
         }
     }
 
--- a/lib/tests/owner_fuzz/server.rs
+++ b/lib/tests/owner_fuzz/server.rs
@@ -168,13 +168,18 @@
         let run = self.running.remove(index);
         if let Some(cold) = &mut self.cold {
             cold.answers += 1;
-            if cold.answers >= COLD_ANSWERS && time >= cold.since + COLD_DURATION {
-                self.cold = None;
-            }
         }
+        self.warm_up(time);
         run
     }
 
+    /// Becomes warm once it has been up and has answered for long enough.
+    pub fn warm_up(&mut self, time: Duration) {
+        self.cold = self
+            .cold
+            .filter(|cold| cold.answers < COLD_ANSWERS || time < cold.since + COLD_DURATION);
+    }
+
     /// Stops requests whose deadline has passed by the server's clock and returns them.
     pub fn stop_overdue(&mut self, wall: SystemTime) -> Vec<Run> {
         let overdue = |run: &mut Run| run.deadline <= wall;
--- a/lib/tests/owner_fuzz/transition.rs
+++ b/lib/tests/owner_fuzz/transition.rs
@@ -54,9 +54,11 @@
         pick: usize,
         kind: Kind,
     },
-    /// The server process ends and another one starts.
+    /// The server process ends and another one starts. Without resets, the old connections are
+    /// silent. A server that lies claims to be warm.
     Restart {
         lies: bool,
+        resets: bool,
     },
     /// The server loses its caches without a restart.
     TurnCold,
@@ -160,7 +162,8 @@
     ];
     prop_oneof![
         8 => (any::<usize>(), kind).prop_map(|(pick, kind)| Transition::Answer { pick, kind }),
-        2 => any::<bool>().prop_map(|lies| Transition::Restart { lies }),
+        2 => (any::<bool>(), prop::bool::weighted(0.7))
+            .prop_map(|(lies, resets)| Transition::Restart { lies, resets }),
         1 => Just(Transition::TurnCold),
         1 => any::<usize>().prop_map(|pick| Transition::Reset { pick }),
         2 => mode.prop_map(Transition::Mode),
--- a/lib/tests/owner_fuzz/world.rs
+++ b/lib/tests/owner_fuzz/world.rs
@@ -194,7 +194,7 @@
                 pick,
             } => self.receive(instance, count, pick),
             Transition::Answer { pick, kind } => self.answer(pick, kind),
-            Transition::Restart { lies } => self.restart(lies),
+            Transition::Restart { lies, resets } => self.restart(lies, resets),
             Transition::TurnCold => self.server.turn_cold(self.time),
             Transition::Reset { pick } => self.reset(pick),
             Transition::Mode(mode) => self.server.mode = mode,
@@ -297,6 +297,7 @@
         let end = self.time + by;
         while self.time < end {
             self.time = end.min(self.time + Duration::from_millis(10));
+            self.server.warm_up(self.time);
             let wall = self.wall(self.server_offset_ms);
             for run in self.server.stop_overdue(wall) {
                 if !self.server.silent {
