daemon: run rollouts

Each instance concludes from the record which share of requests goes to the new version, counts outcomes per version and route, spreads the counters by gossip, and the rollout's owner drives the stages. The stage type moves to the state layer, so that the record and the driver share it; a retired rollout leaves no entry in the record.

--- a/daemon/src/control/operator_rpc.rs
+++ b/daemon/src/control/operator_rpc.rs
@@ -8,7 +8,6 @@
 use camphorhold::coordination::proposal::Accepted;
 use camphorhold::coordination::proposal::StoreRevision;
 use camphorhold::coordination::warmth;
-use camphorhold::protocol::control;
 use camphorhold::protocol::control::ApplyAnswer;
 use camphorhold::protocol::control::ApplyRequest;
 use camphorhold::protocol::control::ControlServer;
@@ -34,7 +33,7 @@
 use camphorhold::state::id::OperationId;
 use camphorhold::state::id::Revision;
 use camphorhold::state::record::Record;
-use camphorhold::state::record::RolloutStage;
+use camphorhold::state::rollout::Stage;
 use camphorhold::state::time::Clock;
 use camphorhold::state::time::SystemClock;
 use camphorhold::state::time::unix_millis;
@@ -311,28 +310,14 @@
         from: wanted.from.clone(),
         to: wanted.to.clone(),
         deadline_unix_ms: unix_millis(wanted.deadline),
-        stage: stage(view.rollout(rollout)),
+        stage: view
+            .rollout(rollout)
+            .cloned()
+            .unwrap_or(Stage::Pending)
+            .into(),
     });
     RolloutsAnswer {
         generation: view.generation(),
         rollouts: rollouts.collect(),
     }
 }
-
-fn stage(stage: Option<RolloutStage>) -> control::RolloutStage {
-    match stage {
-        None | Some(RolloutStage::Pending) => control::RolloutStage::Pending,
-        Some(RolloutStage::Running {
-            share_permille,
-            since_unix_ms,
-        }) => control::RolloutStage::Running {
-            share_permille,
-            since_unix_ms,
-        },
-        Some(RolloutStage::Completed) => control::RolloutStage::Completed,
-        Some(RolloutStage::TakenBack { .. }) => control::RolloutStage::TakenBack {
-            fault: control::Fault::Deadline,
-        },
-        Some(RolloutStage::Retired) => control::RolloutStage::Retired,
-    }
-}
--- a/daemon/src/entry/mod.rs
+++ b/daemon/src/entry/mod.rs
@@ -32,7 +32,6 @@
 use camphorhold::state::id::Fingerprint;
 use camphorhold::state::id::RequestId;
 use camphorhold::state::id::ShardId;
-use camphorhold::state::id::VersionName;
 use camphorhold::state::time::Clock;
 use camphorhold::state::time::SystemClock;
 use camphorhold::state::time::unix_millis;
@@ -63,6 +62,8 @@
 use crate::http::json;
 use crate::http::read_body;
 use crate::leaf::Pool;
+use crate::rollouts::Choice;
+use crate::rollouts::Rollouts;
 use crate::timeline::Recorder;
 
 /// The path of callers' requests.
@@ -81,6 +82,7 @@
     gates: Gates,
     windows: Windows,
     canaries: Arc<Canaries>,
+    rollouts: Arc<Rollouts>,
     sender: Arc<Sender>,
     recorder: Arc<Recorder>,
     takes_work: AtomicBool,
@@ -174,6 +176,7 @@
         control: Handle,
         leafs: Arc<Pool>,
         canaries: Arc<Canaries>,
+        rollouts: Arc<Rollouts>,
         recorder: Arc<Recorder>,
     ) -> Self {
         let sender = Sender {
@@ -187,6 +190,7 @@
             gates: Gates::default(),
             windows: Windows::default(),
             canaries,
+            rollouts,
             sender: Arc::new(sender),
             recorder,
             takes_work: AtomicBool::new(true),
@@ -227,11 +231,11 @@
 
     fn set_capacities(&self, file: &File) {
         for (name, service) in &file.services {
-            let version = service.serving.clone();
-            let Some(lane) = self.lanes.get(name, &version) else {
-                continue;
-            };
-            let slots = lanes::lock(&lane).usable() * service.slots.0 * CALLS_PER_SLOT;
+            // During a rollout both versions serve; the larger one bears the load.
+            let lanes = service.versions.keys();
+            let lanes = lanes.filter_map(|version| self.lanes.get(name, version));
+            let usable = lanes.map(|lane| lanes::lock(&lane).usable()).max();
+            let slots = usable.unwrap_or(0) * service.slots.0 * CALLS_PER_SLOT;
             self.gates.set_capacity(name, slots);
         }
     }
@@ -310,10 +314,14 @@
         };
         let limit = time_limit(&view, request);
         let started = SystemClock.now();
+        let fingerprint = canary::fingerprint(&request.service, &request.route, &request.query);
         let plan = Plan {
             deadline: started + limit,
             deadline_wall: SystemClock.wall() + limit,
-            version: service.serving.clone(),
+            choice: self
+                .rollouts
+                .choose(&view, &request.service, &service.serving, fingerprint),
+            fingerprint,
             scope: scope(request, service),
             idempotent,
         };
@@ -333,6 +341,7 @@
         match finished {
             Ok(finished) => {
                 permit.measured(finished.measurement);
+                self.note_trial(request, &plan, &finished);
                 let duration = SystemClock.now().saturating_duration_since(started);
                 answer::from_query(id, finished.answer, duration)
             }
@@ -371,8 +380,7 @@
             return Ok(None);
         }
         let id = request.request_id.unwrap_or_default();
-        let fingerprint = canary::fingerprint(&request.service, &request.route, &request.query);
-        match self.canaries.admit(fingerprint, plan.deadline).await {
+        match self.canaries.admit(plan.fingerprint, plan.deadline).await {
             Permission::Free => Ok(None),
             Permission::Canary(fingerprint) => Ok(Some(fingerprint)),
             Permission::Blocked(fingerprint) => {
@@ -397,7 +405,7 @@
         canary: Option<Fingerprint>,
     ) -> Result<run::Finished, AnswerBody> {
         let id = request.request_id.unwrap_or_default();
-        let lane = self.lanes.get(&request.service, &plan.version);
+        let lane = self.lanes.get(&request.service, &plan.choice.version);
         let lane = lane.ok_or_else(|| answer::not_run(id, &Refusal::NoFile))?;
         let (pin, query_id) = {
             let mut lane = lanes::lock(&lane);
@@ -422,6 +430,19 @@
         Ok(run::run(&decision, wire, lane, sender, &self.control).await)
     }
 
+    /// Counts a query for or against the version that it went to.
+    fn note_trial(&self, request: &CallerRequest, plan: &Plan, finished: &run::Finished) {
+        let coverage = finished.answer.coverage;
+        let failed = finished.answer.outcome != query::Outcome::Answered || !coverage.is_complete();
+        self.rollouts.record(
+            &plan.choice,
+            &request.service,
+            &request.route,
+            failed,
+            finished.measurement.duration,
+        );
+    }
+
     fn note(&self, answer: &AnswerBody, subject: Subject) {
         let outcome = match answer.outcome {
             Outcome::Answered => "answered",
@@ -447,7 +468,8 @@
 struct Plan {
     deadline: std::time::Instant,
     deadline_wall: std::time::SystemTime,
-    version: VersionName,
+    choice: Choice,
+    fingerprint: Fingerprint,
     scope: Vec<ShardId>,
     idempotent: bool,
 }
@@ -474,7 +496,7 @@
     peer::Query {
         request_id: request.request_id.unwrap_or_default(),
         service: request.service.clone(),
-        version: plan.version.clone(),
+        version: plan.choice.version.clone(),
         route: request.route.clone(),
         snapshot: pin.snapshot,
         partition: pin.partition,
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -8,6 +8,7 @@
 mod leaf;
 mod peer;
 mod process;
+mod rollouts;
 mod settings;
 mod timeline;
 
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -37,6 +37,7 @@
 use crate::leaf::Pool;
 use crate::peer;
 use crate::peer::Peers;
+use crate::rollouts::Rollouts;
 use crate::settings::Settings;
 use crate::timeline::Recorder;
 
@@ -148,12 +149,15 @@
         listener: listeners.control,
     })?;
     canaries.connect(control.clone());
+    let rollouts = Arc::new(Rollouts::new(control.clone(), Arc::clone(&recorder)));
     let entry = Arc::new(Entry::new(
         control.clone(),
         Arc::clone(&leafs),
         canaries,
+        Arc::clone(&rollouts),
         Arc::clone(&recorder),
     ));
+    tokio::spawn(rollouts.run());
     let readiness = Arc::new(Readiness::new(control.clone()));
     tokio::spawn(Arc::clone(&leafs).follow(control.clone()));
     tokio::spawn(Arc::clone(&entry).follow());
--- a/lib/src/coordination/control/apply.rs
+++ b/lib/src/coordination/control/apply.rs
@@ -126,6 +126,7 @@
         drains: Arc::default(),
         poison: Arc::default(),
         leaf_statuses: Arc::default(),
+        evidence: Arc::default(),
         currency: Currency::Lost,
         valid_until: None,
     }
@@ -341,6 +342,7 @@
         let mut drains = BTreeSet::new();
         let mut poison: BTreeMap<_, u32> = BTreeMap::new();
         let mut leaf_statuses = BTreeMap::new();
+        let mut evidence = BTreeMap::new();
         for (origin, fact) in self.facts.iter() {
             match fact.clone() {
                 Fact::Drain { leaf } => {
@@ -377,20 +379,15 @@
                         leaf_statuses.entry(leaf).or_insert(status);
                     }
                 }
-                Fact::Evidence { .. } => {}
+                Fact::Evidence { bytes, .. } => {
+                    evidence.insert(origin, Arc::from(bytes));
+                }
             }
         }
         view.revocations = Arc::new(revocations);
         view.drains = Arc::new(drains);
         view.poison = Arc::new(poison);
         view.leaf_statuses = Arc::new(leaf_statuses);
-    }
-
-    /// Iterates over the rollout counters of all instances, for the rollout driver.
-    pub fn rollout_evidence(&self) -> impl Iterator<Item = (InstanceId, &[u8])> {
-        self.facts.iter().filter_map(|(origin, fact)| match fact {
-            Fact::Evidence { bytes, .. } => Some((origin, bytes.as_slice())),
-            _ => None,
-        })
+        view.evidence = Arc::new(evidence);
     }
 }
--- a/lib/src/coordination/control/message.rs
+++ b/lib/src/coordination/control/message.rs
@@ -32,7 +32,7 @@
 use crate::state::record::Candidate;
 use crate::state::record::FileRef;
 use crate::state::record::Record;
-use crate::state::record::RolloutStage;
+use crate::state::rollout::Stage;
 use crate::state::view::Currency;
 use crate::state::view::View;
 
@@ -259,9 +259,9 @@
         /// The rollout.
         rollout: RolloutId,
         /// The stage that the driver saw.
-        expected: Option<RolloutStage>,
+        expected: Option<Stage>,
         /// The stage to reach.
-        stage: RolloutStage,
+        stage: Stage,
     },
     /// Writes a revocation to the record.
     ProposeRevocation {
--- a/lib/src/coordination/proposal/change.rs
+++ b/lib/src/coordination/proposal/change.rs
@@ -12,7 +12,7 @@
 use crate::state::id::VersionName;
 use crate::state::record::Candidate;
 use crate::state::record::Record;
-use crate::state::record::RolloutStage;
+use crate::state::rollout::Stage;
 
 /// A change of the record. Whether it fits is checked against the record that it is applied to.
 #[derive(Clone, Debug)]
@@ -36,9 +36,9 @@
         /// The rollout.
         rollout: RolloutId,
         /// The stage that the proposer saw.
-        expected: Option<RolloutStage>,
+        expected: Option<Stage>,
         /// The stage to reach.
-        stage: RolloutStage,
+        stage: Stage,
     },
     /// Revokes a version.
     Revocation {
@@ -85,7 +85,7 @@
                 if record.rollouts.get(rollout) != expected.as_ref() {
                     return Err(Error::StageMismatch);
                 }
-                Ok(record.with_rollout_stage(operation, rollout.clone(), *stage))
+                Ok(record.with_rollout_stage(operation, rollout.clone(), stage.clone()))
             }
             Self::Revocation { service, version } => {
                 Ok(record.with_revocation(operation, service.clone(), version.clone()))
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub mod hlc;
 pub mod id;
 pub mod record;
+pub mod rollout;
 pub mod size;
 pub mod time;
 pub mod view;
--- a/lib/src/state/record.rs
+++ b/lib/src/state/record.rs
@@ -21,6 +21,7 @@
 use crate::state::id::RolloutId;
 use crate::state::id::ServiceName;
 use crate::state::id::VersionName;
+use crate::state::rollout::Stage;
 
 /// The largest number of witnesses.
 pub const MAX_WITNESSES: usize = 15;
@@ -101,40 +102,6 @@
     pub outcome: Outcome,
 }
 
-/// Why a rollout was taken back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum TakenBackReason {
-    /// The new version failed or was slower than the old one.
-    Faults,
-    /// The deadline passed without a completion.
-    Deadline,
-    /// Operators withdrew it.
-    Operator,
-}
-
-/// How far a rollout is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RolloutStage {
-    /// Accepted, no traffic yet.
-    Pending,
-    /// The new version gets a share of the traffic.
-    Running {
-        /// Share in thousandths.
-        share_permille: u16,
-        /// Wall-clock time since when, in milliseconds since the Unix epoch.
-        since_unix_ms: u64,
-    },
-    /// The new version carries all traffic.
-    Completed,
-    /// The old version carries all traffic again.
-    TakenBack {
-        /// Why.
-        reason: TakenBackReason,
-    },
-    /// No longer in the operators' file.
-    Retired,
-}
-
 /// The control record.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -149,7 +116,7 @@
     /// Every departure at a later generation than this one is listed.
     pub departures_after: Generation,
     /// The stage of each rollout.
-    pub rollouts: BTreeMap<RolloutId, RolloutStage>,
+    pub rollouts: BTreeMap<RolloutId, Stage>,
     /// Versions that get no traffic. Only grows.
     pub revocations: BTreeSet<(ServiceName, VersionName)>,
     /// The last operations, oldest first.
@@ -231,17 +198,21 @@
         next
     }
 
-    /// Returns the record with the rollout at the stage.
+    /// Returns the record with the rollout at the stage. A retired rollout leaves no entry.
     #[must_use]
     pub fn with_rollout_stage(
         &self,
         operation: OperationId,
         rollout: RolloutId,
-        stage: RolloutStage,
+        stage: Stage,
     ) -> Self {
         let outcome = Outcome(xxh3_64(rollout.as_str().as_bytes()));
         let mut next = self.next(operation, outcome);
-        next.rollouts.insert(rollout, stage);
+        if stage == Stage::Retired {
+            next.rollouts.remove(&rollout);
+        } else {
+            next.rollouts.insert(rollout, stage);
+        }
         next
     }
 
--- a/lib/src/state/view.rs
+++ b/lib/src/state/view.rs
@@ -22,7 +22,7 @@
 use crate::state::id::SnapshotId;
 use crate::state::id::VersionName;
 use crate::state::record::Record;
-use crate::state::record::RolloutStage;
+use crate::state::rollout::Stage;
 
 /// Whether an instance may act on the generation that it applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,6 +93,8 @@
     pub poison: Arc<BTreeMap<Fingerprint, u32>>,
     /// The last status of each leaf.
     pub leaf_statuses: Arc<BTreeMap<LeafId, LeafStatus>>,
+    /// The rollout counters of each instance, in the encoding of the rollout driver.
+    pub evidence: Arc<BTreeMap<InstanceId, Arc<[u8]>>>,
     /// The kind of evidence held when the view was made.
     pub currency: Currency,
     /// When currency runs out if no more evidence arrives. Requests carry no later deadline.
@@ -114,8 +116,8 @@
 
     /// Returns the stage of the rollout.
     #[must_use]
-    pub fn rollout(&self, rollout: &RolloutId) -> Option<RolloutStage> {
-        self.record.rollouts.get(rollout).copied()
+    pub fn rollout(&self, rollout: &RolloutId) -> Option<&Stage> {
+        self.record.rollouts.get(rollout)
     }
 
     /// Tells whether work may be taken or dispatched now.
