--- a/lib/tests/entry_replica.rs
+++ b/lib/tests/entry_replica.rs
@@ -197,12 +197,12 @@
             .on_failure(leaf, entry.now, Failure::Connection);
     }
     assert!(choose(&mut entry, Probing::Forbidden).is_some());
-    let avoid = Avoid([Some(LeafIndex(0)), None]);
+    let avoid = Avoid([Some(LeafIndex(0)), None, None]);
     assert_eq!(
         choose_avoiding(&mut entry, Probing::Forbidden, avoid),
         Some(1)
     );
-    let avoid = Avoid([0, 1].map(|leaf| Some(LeafIndex(leaf))));
+    let avoid = Avoid([0, 1, 1].map(|leaf| Some(LeafIndex(leaf))));
     assert_eq!(choose_avoiding(&mut entry, Probing::Forbidden, avoid), None);
 }
 
--- a/lib/tests/entry_support/run.rs
+++ b/lib/tests/entry_support/run.rs
@@ -97,7 +97,7 @@
 /// A query to one shard with two replicas; a hedge delay and budget are there.
 pub fn one_shard(idempotent: bool) -> Run {
     let mut entry = Entry::new(1, 2, 1);
-    entry.warm_up(NORMAL, 5);
+    entry.warm_up(NORMAL, 30);
     let scope = scope(1);
     let request = Request {
         idempotent,
