cli: add the operators' commands

Operators need one program to check and apply a file, to see instances, rollouts and events, and to send a query. After a lost answer they must learn what became of their change.

`timeline` and `status` ask all members of the roster.

--- /dev/null
+++ b/cli/tests/views.rs
@@ -0,0 +1,284 @@
+//! Tests of `status`, `moves`, `timeline` and `query` against stand-ins.
+
+#![allow(
+    clippy::needless_raw_string_hashes,
+    reason = "expect-test writes them when it updates a snapshot"
+)]
+
+mod support;
+
+use std::net::SocketAddr;
+
+use camphorhold::protocol::control::Currency;
+use camphorhold::protocol::control::Fault;
+use camphorhold::protocol::control::InstanceStatus;
+use camphorhold::protocol::control::LeafStatus;
+use camphorhold::protocol::control::Member;
+use camphorhold::protocol::control::Phase;
+use camphorhold::protocol::control::RolloutStage;
+use camphorhold::protocol::control::RolloutStatus;
+use camphorhold::protocol::control::ServiceStatus;
+use camphorhold::protocol::control::Temperature;
+use camphorhold::state::event::Event;
+use camphorhold::state::event::Kind;
+use camphorhold::state::event::Ring;
+use camphorhold::state::event::Subject;
+use camphorhold::state::hlc::Timestamp;
+use camphorhold::state::id::Generation;
+use camphorhold::state::id::InstanceId;
+use camphorhold::state::id::RequestId;
+use camphorhold::state::id::Revision;
+use camphorhold::state::id::ShardId;
+use expect_test::expect;
+use support::CLOSED;
+use support::Instance;
+use support::run;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+fn name<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().unwrap_or_else(|_| panic!("{text:?} is valid"))
+}
+
+fn status(id: u64, roster: &[SocketAddr]) -> InstanceStatus {
+    let leaf = |address: &str, temperature| LeafStatus {
+        leaf: name(address),
+        version: name("v1"),
+        shard: ShardId(0),
+        failure_domain: name("a"),
+        temperature,
+        in_flight: 1,
+        limit: 2,
+        draining: false,
+    };
+    let member = |address: &SocketAddr| Member {
+        instance: InstanceId(id),
+        address: *address,
+        failure_domain: name("a"),
+        witness: true,
+    };
+    InstanceStatus {
+        instance: InstanceId(id),
+        failure_domain: name("a"),
+        generation: Generation(9),
+        revision: Revision(4),
+        currency: Currency::Witnessed,
+        ready: true,
+        phase: Phase::Running,
+        owned_leafs: 2,
+        roster: roster.iter().map(member).collect(),
+        services: vec![ServiceStatus {
+            service: name("roster"),
+            in_flight: 3,
+            leafs: vec![
+                leaf("10.0.0.1:7001", Temperature::Warm),
+                leaf("10.0.0.2:7001", Temperature::Cold),
+            ],
+        }],
+        omitted_leafs: 0,
+    }
+}
+
+/// Guards against a status that shows only the instance that was asked, or hides a silent one.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_shows_the_roster_and_names_silent_instances() {
+    let mut second = Instance::new(2);
+    second.status = Some(status(2, &[]));
+    let second = second.serve().await;
+    let mut first = Instance::new(1);
+    first.status = Some(status(1, &[second, CLOSED]));
+    let first = first.serve().await;
+    let output = run(&["--instance", &first.to_string(), "status"]).await;
+    // Addresses have changing ports, of changing width.
+    let words = |text: &str| text.split_whitespace().collect::<Vec<_>>().join(" ");
+    let mut lines: Vec<String> = output.stdout.lines().map(words).collect();
+    for line in &mut lines {
+        for address in [first, second] {
+            *line = line.replace(&address.to_string(), "ADDRESS");
+        }
+    }
+    lines[1..3].sort();
+    expect![[r#"
+        INSTANCE ADDRESS DOMAIN GENERATION REVISION CURRENCY READY PHASE LEAFS ROSTER
+        0000000000000001 ADDRESS a 9 4 witnessed yes running 2 2, 2 witnesses
+        0000000000000002 ADDRESS a 9 4 witnessed yes running 2 0, 0 witnesses
+
+        SERVICE WARM RAMPING COLD UNKNOWN DRAINING REQUESTS LEAF REQUESTS
+        roster 2 0 2 0 0 6 4"#]]
+    .assert_eq(&lines.join("\n"));
+    assert!(output.stderr.contains(&format!("{CLOSED} did not answer")));
+    assert_eq!(output.code, Some(0));
+}
+
+/// Guards against a rollout taken back without a reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn moves_tells_what_is_done_running_and_taken_back() {
+    let rollout = |id: &str, stage| RolloutStatus {
+        rollout: name(id),
+        services: vec![name("roster")],
+        from: name("v1"),
+        to: name("v2"),
+        deadline_unix_ms: 1_796_385_600_000,
+        stage,
+    };
+    let failing = Fault::Failing {
+        service: name("roster"),
+        route: name("search"),
+    };
+    let mut instance = Instance::new(1);
+    instance.rollouts.rollouts = vec![
+        rollout("one", RolloutStage::Completed),
+        rollout("two", RolloutStage::Pending),
+        rollout("three", RolloutStage::TakenBack { fault: failing }),
+        rollout(
+            "four",
+            RolloutStage::TakenBack {
+                fault: Fault::Deadline,
+            },
+        ),
+    ];
+    let address = instance.serve().await.to_string();
+    let output = run(&["--instance", &address, "moves"]).await;
+    expect![[r#"
+         MOVE   SERVICES  FROM  TO  DEADLINE              STATE
+         one    roster    v1    v2  2026-12-04T12:00:00Z  done
+         two    roster    v1    v2  2026-12-04T12:00:00Z  waiting
+         three  roster    v1    v2  2026-12-04T12:00:00Z  taken back: failed more often than the old version on roster search
+         four   roster    v1    v2  2026-12-04T12:00:00Z  taken back: not completed by its deadline
+    "#]].assert_eq(&output.stdout);
+    assert_eq!(output.code, Some(0));
+}
+
+fn event(wall_ms: u64, instance: u64, request: u128, kind: Kind) -> Event {
+    Event {
+        at: Timestamp {
+            wall_ms,
+            counter: 0,
+        },
+        instance: InstanceId(instance),
+        subject: Subject {
+            request: Some(RequestId(request)),
+            ..Subject::default()
+        },
+        kind,
+    }
+}
+
+/// Guards against events out of order, a filter that is not sent, and silent loss of events.
+#[tokio::test(flavor = "multi_thread")]
+async fn timeline_merges_filters_and_tells_of_dropped_events() {
+    let mut first = Instance::new(1);
+    first.ring = std::sync::Arc::new(std::sync::Mutex::new(Ring::new(2)));
+    let second = Instance::new(2);
+    first.push(event(1, 1, 7, Kind::Hedged {}));
+    first.push(event(2, 1, 7, Kind::RequestAdmitted {}));
+    first.push(event(4, 1, 7, Kind::Retried { attempt: 1 }));
+    second.push(event(3, 2, 7, Kind::LeafCold {}));
+    second.push(event(3, 2, 8, Kind::LeafWarm {}));
+    let instances = format!("{},{}", first.serve().await, second.serve().await);
+    let request = format!("{:032x}", 7);
+    let arguments = [
+        "--instance",
+        &instances,
+        "timeline",
+        "--given-only",
+        "--request",
+        &request,
+    ];
+    let output = run(&arguments).await;
+    expect![[r#"
+         TIME                      INSTANCE          EVENT              ABOUT
+         1970-01-01T00:00:00.002Z  0000000000000001  request_admitted   request 00000000000000000000000000000007
+         1970-01-01T00:00:00.003Z  0000000000000002  leaf_cold          request 00000000000000000000000000000007
+         1970-01-01T00:00:00.004Z  0000000000000001  retried attempt=1  request 00000000000000000000000000000007
+    "#]].assert_eq(&output.stdout);
+    expect![[r#"
+        warning: instance 0000000000000001 has dropped 1 events, so the timeline has gaps
+    "#]]
+    .assert_eq(&output.stderr);
+    assert_eq!(output.code, Some(0));
+}
+
+/// Answers HTTP requests, one per connection, with the given responses.
+async fn entry(responses: Vec<&'static str>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        for response in responses {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                return;
+            };
+            let mut request = Vec::new();
+            while !request.ends_with(b"}") {
+                let Ok(1..) = stream.read_buf(&mut request).await else {
+                    break;
+                };
+            }
+            let _ = stream.write_all(response.as_bytes()).await;
+        }
+    });
+    address
+}
+
+const NOT_RUN: &str = "HTTP/1.1 503 Service Unavailable\r\nretry-after: 0\r\n\
+    connection: close\r\n\r\n\
+    {\"request_id\":\"0a\",\"outcome\":\"not_run\",\"reason\":\"overloaded\",\"hits\":[]}";
+const ANSWERED: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n\
+    {\"request_id\":\"0a\",\"outcome\":\"answered\",\"snapshot\":7,\
+    \"coverage\":{\"answered\":19,\"in_scope\":20},\"hits\":[{\"id\":1}],\"server_time_ms\":4}";
+const UNKNOWN: &str = "HTTP/1.1 504 Gateway Timeout\r\nconnection: close\r\n\r\n\
+    {\"request_id\":\"0a\",\"outcome\":\"unknown\",\"reason\":\"connection lost\"}";
+const WRONG_TENANT: &str = "HTTP/1.1 403 Forbidden\r\nconnection: close\r\n\r\nwrong tenant";
+
+async fn query(responses: Vec<&'static str>) -> support::Output {
+    let address = entry(responses).await.to_string();
+    run(&[
+        "query",
+        "--entry",
+        &address,
+        "--tenant",
+        "almisse",
+        "--service",
+        "roster",
+        "--route",
+        "search",
+        "{\"name\":\"kim\"}",
+    ])
+    .await
+}
+
+/// Guards against a request that was not run and is not sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn query_repeats_a_request_that_was_not_run() {
+    let output = query(vec![NOT_RUN, ANSWERED]).await;
+    expect![[r#"
+        {"id":1}
+        outcome: answered
+        coverage: 19 of 20 shards
+        snapshot: 7
+        request: 0a
+    "#]]
+    .assert_eq(&output.stdout);
+    assert_eq!(output.code, Some(0), "{}", output.stderr);
+    let output = query(vec![NOT_RUN, NOT_RUN, NOT_RUN, ANSWERED]).await;
+    assert_eq!(output.code, Some(1), "{}", output.stdout);
+}
+
+/// Guards against a request that may have run and is sent again, and against its being reported
+/// as refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn query_does_not_repeat_a_request_that_may_have_run() {
+    let output = query(vec![UNKNOWN, ANSWERED]).await;
+    expect![[r#"
+        outcome: unknown (connection lost)
+        request: 0a
+    "#]]
+    .assert_eq(&output.stdout);
+    assert_eq!(output.code, Some(4));
+    let broken = query(vec!["", ANSWERED]).await;
+    assert_eq!(broken.code, Some(4), "{}", broken.stdout);
+    let refused = query(vec![WRONG_TENANT]).await;
+    assert_eq!(refused.stdout, "refused: 403 Forbidden: wrong tenant\n");
+    assert_eq!(refused.code, Some(1));
+}
--- a/lib/src/protocol/control/status.rs
+++ b/lib/src/protocol/control/status.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::coordination::rollout;
 use crate::state::id::FailureDomain;
 use crate::state::id::Generation;
 use crate::state::id::InstanceId;
@@ -204,6 +205,39 @@
         /// The route.
         route: Route,
     },
+    /// The new version was revoked by an earlier driver, whose reason is not known.
+    Revoked,
     /// The rollout was not completed in time.
     Deadline,
 }
+
+impl From<rollout::Reason> for Fault {
+    fn from(reason: rollout::Reason) -> Self {
+        match reason {
+            rollout::Reason::Failing { service, route } => Self::Failing { service, route },
+            rollout::Reason::Slow { service, route } => Self::Slow { service, route },
+            rollout::Reason::Revoked => Self::Revoked,
+            rollout::Reason::Deadline => Self::Deadline,
+        }
+    }
+}
+
+impl From<rollout::Stage> for RolloutStage {
+    fn from(stage: rollout::Stage) -> Self {
+        match stage {
+            rollout::Stage::Pending => Self::Pending,
+            rollout::Stage::Running {
+                share_permille,
+                since_unix_ms,
+            } => Self::Running {
+                share_permille,
+                since_unix_ms,
+            },
+            rollout::Stage::Completed => Self::Completed,
+            rollout::Stage::TakenBack { reason } => Self::TakenBack {
+                fault: reason.into(),
+            },
+            rollout::Stage::Retired => Self::Retired,
+        }
+    }
+}
--- a/lib/tests/rollout_driver.rs
+++ b/lib/tests/rollout_driver.rs
@@ -215,3 +215,19 @@
     standby.driving = true;
     assert!(!proposals(&driver.tick(standby)).is_empty());
 }
+
+/// Guards against a proof that carries over to a larger share, where it says nothing about load.
+#[test]
+fn each_step_needs_its_own_proof() {
+    let mut driver = driver();
+    let evidence = evidence(1, 10, 0);
+    let due = from_unix_millis(START_MS) + DWELL;
+    let first = running(10);
+    assert_eq!(shares(&driver.tick(input(&first, &evidence, due))), [50]);
+    for share in [50, 200, 500, 1000] {
+        let stage = running(share);
+        let late = due + DWELL * 5;
+        let proposed = shares(&driver.tick(input(&stage, &evidence, late)));
+        assert_eq!(proposed, NONE, "at {share}");
+    }
+}
