tests: follow the record's traffic address and the shared rollout stage

Cause: the record gained a second address per member and the stage type moved to the state layer while the tests were written. The values tested are the same.

--- a/lib/tests/control_cases.rs
+++ b/lib/tests/control_cases.rs
@@ -58,6 +58,7 @@
     let candidate = Candidate {
         instance: WITNESS,
         address: address(1),
+        traffic_address: address(1),
         failure_domain: "a".parse().unwrap(),
     };
     Record::empty().with_roster_change(OperationId(1), &[candidate], &[].into())
--- a/lib/tests/ownership.rs
+++ b/lib/tests/ownership.rs
@@ -55,6 +55,7 @@
     Candidate {
         instance: InstanceId(u64::from(number)),
         address: ([127, 0, 0, 1], number).into(),
+        traffic_address: ([127, 0, 0, 1], number).into(),
         failure_domain: ["a", "b"][usize::from(number) % 2].parse().unwrap(),
     }
 }
--- a/lib/tests/record.rs
+++ b/lib/tests/record.rs
@@ -13,13 +13,14 @@
 use camphorhold::state::record::MAX_OPERATIONS;
 use camphorhold::state::record::MAX_WITNESSES;
 use camphorhold::state::record::Record;
-use camphorhold::state::record::RolloutStage;
+use camphorhold::state::rollout::Stage;
 use proptest::prelude::*;
 
 fn candidate(number: u16, domain: u8) -> Candidate {
     Candidate {
         instance: InstanceId(u64::from(number)),
         address: ([127, 0, 0, 1], number + 1).into(),
+        traffic_address: ([127, 0, 0, 1], number + 1).into(),
         failure_domain: format!("domain-{domain}").parse().unwrap(),
     }
 }
@@ -34,11 +35,7 @@
     let records = [
         Record::empty().with_file(OperationId(1), "text"),
         Record::empty().with_roster_change(OperationId(1), &[candidate(1, 0)], &[].into()),
-        Record::empty().with_rollout_stage(
-            OperationId(1),
-            "move".parse().unwrap(),
-            RolloutStage::Pending,
-        ),
+        Record::empty().with_rollout_stage(OperationId(1), "move".parse().unwrap(), Stage::Pending),
         Record::empty().with_revocation(
             OperationId(1),
             "app".parse().unwrap(),
