--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -52,8 +52,8 @@
     }
 }
 
-/// Routes the platform's and the operators' probes.
-pub fn router(readiness: Arc<Readiness>, metrics: PrometheusHandle) -> Router {
+/// Adds the readiness probe to a router. Load balancers probe the port that they send requests to.
+pub fn with_readiness(router: Router, readiness: Arc<Readiness>) -> Router {
     let ready = move || {
         let readiness = Arc::clone(&readiness);
         async move {
@@ -63,14 +63,19 @@
             }
         }
     };
+    router.route("/readyz", get(ready))
+}
+
+/// Routes the platform's and the operators' probes.
+pub fn router(readiness: Arc<Readiness>, metrics: PrometheusHandle) -> Router {
     let render = move || {
         let metrics = metrics.clone();
         async move { text(StatusCode::OK, metrics.render()) }
     };
-    Router::new()
+    let router = Router::new()
         .route("/healthz", get(alive))
-        .route("/readyz", get(ready))
-        .route("/metrics", get(render))
+        .route("/metrics", get(render));
+    with_readiness(router, readiness)
 }
 
 async fn alive() -> Response {
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -163,7 +163,8 @@
     tokio::spawn(Arc::clone(&entry).follow());
     tokio::spawn(Arc::clone(&entry).run_timers());
     let peers = Arc::new(Peers::new(Arc::clone(&leafs)));
-    start(entry::router(Arc::clone(&entry)), listeners.callers)?;
+    let callers = admin::with_readiness(entry::router(Arc::clone(&entry)), Arc::clone(&readiness));
+    start(callers, listeners.callers)?;
     start(peer::router(peers, Arc::clone(&entry)), listeners.peers)?;
     start(
         admin::router(Arc::clone(&readiness), metrics),
