--- a/lib/tests/control_world/network.rs
+++ b/lib/tests/control_world/network.rs
@@ -41,6 +41,8 @@
     queue: BinaryHeap<Reverse<(Duration, u64)>>,
     deliveries: std::collections::BTreeMap<u64, Delivery>,
     sent: u64,
+    /// Size of the largest message sent, in bytes.
+    pub largest: usize,
 }
 
 impl Network {
@@ -76,6 +78,7 @@
                 continue;
             }
             let bytes = postcard::to_stdvec(message).expect("messages can be encoded");
+            self.largest = self.largest.max(bytes.len());
             let payload = Payload::Message { from, bytes };
             let at = now + self.latency(random);
             self.schedule(at, Delivery { node, payload });
