membership: spread suspicions, so that the lowest ranks propose removals in time

Round robin brings an instance of a large fleet round to a dead member late, and the ranks that do notice wait longest to propose its removal. A suspicion is now a fact; the lowest ranks probe its subject next.

--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -39,6 +39,7 @@
 use crate::coordination::currency::Evidence;
 use crate::coordination::currency::Heartbeat;
 use crate::coordination::currency::longest_age;
+use crate::coordination::gossip::Fact;
 use crate::coordination::gossip::Facts;
 use crate::coordination::membership::Membership;
 use crate::coordination::membership::Request;
@@ -274,6 +275,11 @@
                 message: Message::ProbeRequest { probe, target },
             });
         }
+        for instance in self.membership.suspected() {
+            // Such a small fact is never rejected.
+            let fact = Fact::Suspicion { instance };
+            let _ = self.facts.observe(self.me.instance, fact, now);
+        }
         let gone = self.membership.gone(&self.known.record, now);
         self.proposer.set_gone(gone);
     }
--- a/lib/src/coordination/control/apply.rs
+++ b/lib/src/coordination/control/apply.rs
@@ -378,7 +378,7 @@
                         leaf_statuses.entry(leaf).or_insert(status);
                     }
                 }
-                Fact::Evidence { .. } => {}
+                Fact::Evidence { .. } | Fact::Suspicion { .. } => {}
             }
         }
         view.revocations = Arc::new(revocations);
--- a/lib/src/coordination/control/exchange.rs
+++ b/lib/src/coordination/control/exchange.rs
@@ -276,6 +276,13 @@
 
     fn take_facts(&mut self, delta: &Delta, now: Instant) {
         self.facts_changed |= self.facts.merge(self.me.instance, delta, now);
+        for item in &delta.items {
+            if let Fact::Suspicion { instance } = item.fact {
+                let record = &self.known.record;
+                self.membership
+                    .on_suspicion(instance, record, self.me.instance);
+            }
+        }
     }
 
     pub(super) fn on_fact(
--- a/lib/src/coordination/gossip.rs
+++ b/lib/src/coordination/gossip.rs
@@ -45,6 +45,9 @@
 /// How long an unrenewed drain signal or leaf status stays.
 const SIGNAL_TTL: Duration = Duration::from_mins(1);
 
+/// How long a suspicion is passed on.
+const SUSPICION_TTL: Duration = Duration::from_secs(10);
+
 /// Something that an instance observed and that all should know.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fact {
@@ -87,6 +90,12 @@
         /// The counters.
         bytes: Vec<u8>,
     },
+    /// The origin got no answer from the instance. Makes the lowest ranks probe it, because they
+    /// propose removals first and would come round to it late in a large fleet.
+    Suspicion {
+        /// The instance.
+        instance: InstanceId,
+    },
 }
 
 /// What a fact is about. A newer fact of the same origin about the same replaces the older one.
@@ -102,6 +111,8 @@
     LeafStatus(LeafId),
     /// See [`Fact::Evidence`].
     Evidence(InstanceId),
+    /// See [`Fact::Suspicion`].
+    Suspicion(InstanceId),
 }
 
 impl Fact {
@@ -116,6 +127,7 @@
             Self::Poison { fingerprint, .. } => Subject::Poison(*fingerprint),
             Self::LeafStatus { leaf, .. } => Subject::LeafStatus(*leaf),
             Self::Evidence { instance, .. } => Subject::Evidence(*instance),
+            Self::Suspicion { instance } => Subject::Suspicion(*instance),
         }
     }
 
@@ -124,6 +136,7 @@
             Self::Revocation { .. } => None,
             Self::Poison { .. } | Self::Evidence { .. } => Some(FACT_TTL),
             Self::Drain { .. } | Self::LeafStatus { .. } => Some(SIGNAL_TTL),
+            Self::Suspicion { .. } => Some(SUSPICION_TTL),
         }
     }
 }
--- a/lib/src/coordination/membership.rs
+++ b/lib/src/coordination/membership.rs
@@ -264,6 +264,21 @@
         }
     }
 
+    /// Takes another instance's suspicion: probes the suspect next if this instance is among the
+    /// lowest ranks, which propose removals first.
+    pub fn on_suspicion(&mut self, instance: InstanceId, record: &Record, me: InstanceId) {
+        let lower = record.roster.iter().filter(|one| one.instance < me);
+        let known = self.suspected.contains_key(&instance)
+            || self.order.front() == Some(&instance)
+            || self
+                .probes
+                .values()
+                .any(|probe| probe.instance == Some(instance));
+        if !known && record.member(instance).is_some() && lower.count() <= MAX_RANK_DELAY {
+            self.order.push_front(instance);
+        }
+    }
+
     /// Notes a request to join.
     pub fn on_join(&mut self, candidate: Candidate, record: &Record, now: Instant) {
         let departed = record.departures.iter();
--- a/lib/tests/control_cases.rs
+++ b/lib/tests/control_cases.rs
@@ -13,6 +13,7 @@
 use camphorhold::coordination::control::Input;
 use camphorhold::coordination::control::Machine;
 use camphorhold::coordination::control::Message;
+use camphorhold::coordination::control::Mutation;
 use camphorhold::coordination::control::SentRecord;
 use camphorhold::coordination::control::Settings;
 use camphorhold::coordination::control::StoreFailure;
@@ -30,9 +31,14 @@
 use camphorhold::state::id::OperationId;
 use camphorhold::state::record::Candidate;
 use camphorhold::state::record::MAX_OPERATIONS;
+use camphorhold::state::record::MAX_WITNESSES;
 use camphorhold::state::record::Record;
 
+use self::control_world::World;
 use self::control_world::address;
+use self::control_world::scenario::LARGEST;
+use self::control_world::scenario::Mode;
+use self::control_world::scenario::Transition;
 
 const OPERATION: OperationId = OperationId(7);
 
@@ -235,3 +241,30 @@
         )
     );
 }
+
+/// Guards the instances that are not witnesses, of which smaller fleets have none: they too act
+/// during an outage of the store, and learn of changes in time.
+#[test]
+fn instances_that_are_no_witnesses_act_through_an_outage() {
+    let mut world = World::new(LARGEST, 5, Mutation::None);
+    let apply = Transition::Apply {
+        node: LARGEST - 1,
+        operation: 1,
+    };
+    let outage = Transition::Store(Mode::Down);
+    for transition in [
+        Transition::HealAndSettle,
+        apply,
+        Transition::Run(13_000),
+        outage,
+        Transition::Run(6000),
+        Transition::Kill(3),
+        Transition::Run(3000),
+        Transition::HealAndSettle,
+    ] {
+        assert_eq!(world.act(&transition), Ok(()));
+    }
+    let view = world.nodes[0].active_view().unwrap();
+    assert_eq!(view.record.witnesses().count(), MAX_WITNESSES);
+    assert!(view.record.roster.len() > MAX_WITNESSES);
+}
