coordination: fuzz late writes of paused owners

Cause: two trial mutations survived. With the absolute deadline not capped, or capped without MAX_CLOCK_SKEW, no write reached the server after the end of ownership; with requests on lost connections left out of `is_idle`, no handover met one.

Change: adds a step that pauses the owner between decision and write until about the end of its ownership, and a named test for each of the two.

--- a/lib/tests/owner_fuzz.rs
+++ b/lib/tests/owner_fuzz.rs
@@ -75,7 +75,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config::fixed(1_000, 0x0a11))]
+    #![proptest_config(config::fixed(800, 0x0a11))]
 
     #[test]
     fn the_owner_of_a_leaf_keeps_every_bound(sequential 1..80 => World);
@@ -120,3 +120,55 @@
     });
     world.finish();
 }
+
+/// Guards against a paused owner whose write reaches the server after its ownership has ended. The
+/// server's clock is as far behind as permitted.
+#[test]
+fn a_late_write_is_not_started() {
+    for ms in (2_700..3_300).step_by(10) {
+        let mut world = World::new([50, 50, 50, -50]);
+        world.apply(Transition::Serve { rounds: 2 });
+        // Nothing waits any more, so that the late call itself is written.
+        world.apply(Transition::Advance { ms: 600 });
+        world.apply(Transition::LateWrite { ms });
+        world.finish();
+    }
+}
+
+/// Guards against a release while the server may still run a request whose connection was lost.
+#[test]
+fn a_release_waits_for_requests_on_lost_connections() {
+    let mut world = World::new([0; 4]);
+    let all = |instance| {
+        [
+            Transition::Deliver {
+                instance,
+                count: u8::MAX,
+            },
+            Transition::Receive {
+                instance,
+                count: u8::MAX,
+                pick: 0,
+            },
+        ]
+    };
+    world.apply(Transition::Serve { rounds: 2 });
+    world.apply(Transition::Silent(true));
+    world.apply(Transition::Submit {
+        instance: 0,
+        count: 1,
+        deadline_ms: 800,
+        idempotent: true,
+    });
+    for step in all(0) {
+        world.apply(step);
+    }
+    world.apply(Transition::Reset { pick: 0 });
+    for step in all(0) {
+        world.apply(step);
+    }
+    world.apply(Transition::Handover { to: 1 });
+    world.apply(Transition::Advance { ms: 20 });
+    world.apply(Transition::Serve { rounds: 1 });
+    world.finish();
+}
--- a/lib/tests/owner_fuzz/network.rs
+++ b/lib/tests/owner_fuzz/network.rs
@@ -116,6 +116,15 @@
         }
     }
 
+    pub(super) fn late_write(&mut self, ms: u64) {
+        let owner = self.owner.instance;
+        self.submit(owner, 5_000, false);
+        self.instances[owner].paused = true;
+        self.advance(Duration::from_millis(ms));
+        self.instances[owner].paused = false;
+        self.deliver(owner, u8::MAX);
+    }
+
     /// Reads numbers above the instances as the owner.
     pub(super) fn or_owner(&self, instance: usize) -> usize {
         if instance < INSTANCES {
--- a/lib/tests/owner_fuzz/transition.rs
+++ b/lib/tests/owner_fuzz/transition.rs
@@ -79,6 +79,11 @@
     Resume {
         instance: usize,
     },
+    /// The owner is paused between a decision and the write, and resumes close to the end of its
+    /// ownership.
+    LateWrite {
+        ms: u64,
+    },
     /// The instance gets no evidence of currency.
     Cut {
         instance: usize,
@@ -185,6 +190,7 @@
         1 => instance.clone().prop_map(|instance| Transition::Cut { instance }),
         2 => instance.clone().prop_map(|instance| Transition::Heal { instance }),
         3 => instance.prop_map(|to| Transition::Handover { to }),
+        2 => (2_700_u64..3_300).prop_map(|ms| Transition::LateWrite { ms }),
         1 => (source, prop::bool::weighted(0.3))
             .prop_map(|(source, leaving)| Transition::Leave { source, leaving }),
         1 => (1_u32..6).prop_map(|slots| Transition::Slots { slots }),
--- a/lib/tests/owner_fuzz/world.rs
+++ b/lib/tests/owner_fuzz/world.rs
@@ -205,6 +205,7 @@
             }
             Transition::Pause { instance } => self.instances[instance].paused = true,
             Transition::Resume { instance } => self.instances[instance].paused = false,
+            Transition::LateWrite { ms } => self.late_write(ms),
             Transition::Cut { instance } => self.instances[instance].cut = true,
             Transition::Heal { instance } => self.instances[instance].cut = false,
             Transition::Handover { to } => self.hand_over(to),
