coordination: test drops before the deadline, crash attribution and the canary registry's bounds

Cause: these rules had no test of their own.

Change: adds tests that a call is refused as not run when its answer would come too late, that the estimate behind this falls again, that a lost connection names the call as suspect, that crashes outside canaries count, and that a full canary registry refuses instead of forgetting.

--- a/lib/tests/owner_parts.rs
+++ b/lib/tests/owner_parts.rs
@@ -9,12 +9,17 @@
 use camphorhold::coordination::drain;
 use camphorhold::coordination::drain::Signal;
 use camphorhold::coordination::drain::Source;
+use camphorhold::coordination::limit::FastestAnswer;
 use camphorhold::coordination::limit::InFlight;
 use camphorhold::coordination::limit::pool::MAX_OPENING;
 use camphorhold::coordination::limit::pool::Pool;
 use camphorhold::coordination::limit::queue::CALLS_PER_SLOT;
 use camphorhold::coordination::limit::queue::Queue;
 use camphorhold::coordination::limit::queue::Waiting;
+use camphorhold::coordination::poison::Admission;
+use camphorhold::coordination::poison::EXPIRY;
+use camphorhold::coordination::poison::Outcome;
+use camphorhold::coordination::poison::Registry;
 use camphorhold::coordination::shutdown;
 use camphorhold::coordination::shutdown::Shutdown;
 use camphorhold::coordination::warmth;
@@ -22,6 +27,7 @@
 use camphorhold::coordination::warmth::Temperature;
 use camphorhold::coordination::warmth::Warmth;
 use camphorhold::state::file::ColdStart;
+use camphorhold::state::id::Fingerprint;
 use camphorhold::state::id::LeafId;
 use camphorhold::state::id::ServerIncarnation;
 use camphorhold::state::size::Slots;
@@ -92,6 +98,56 @@
     assert_eq!(limit.limit(), 8);
 }
 
+/// Guards against a leaf that was slow once being refused calls for ever.
+#[test]
+fn dropped_calls_lower_the_estimate_of_the_answer_time() {
+    let mut fastest = FastestAnswer::default();
+    assert_eq!(fastest.estimate(), Duration::ZERO);
+    fastest.answered(Duration::from_millis(50));
+    fastest.answered(Duration::from_millis(80));
+    assert!(fastest.estimate() < Duration::from_millis(51));
+    let wanted = Duration::from_millis(10);
+    let drops = std::iter::repeat_with(|| fastest.dropped());
+    let tries = drops.take(30).count();
+    assert_eq!(tries, 30);
+    assert!(fastest.estimate() < wanted);
+}
+
+/// Guards against a fingerprint that was good once crashing servers without end.
+#[test]
+fn crashes_outside_canaries_block_a_known_good_fingerprint() {
+    let now = Instant::now();
+    let fingerprint = Fingerprint(7);
+    let mut registry = Registry::new(4);
+    assert_eq!(registry.admit(fingerprint, now), Admission::RunCanary);
+    assert_eq!(registry.admit(fingerprint, now), Admission::WaitForCanary);
+    registry.canary_finished(fingerprint, Outcome::Ok, now);
+    assert_eq!(registry.admit(fingerprint, now), Admission::KnownGood);
+    registry.crashed(fingerprint, now);
+    assert_eq!(registry.admit(fingerprint, now), Admission::RunCanary);
+    registry.canary_finished(fingerprint, Outcome::Crashed, now);
+    let until = now + EXPIRY;
+    assert_eq!(
+        registry.admit(fingerprint, now),
+        Admission::Blocked { until }
+    );
+    assert_eq!(registry.admit(fingerprint, until), Admission::RunCanary);
+}
+
+/// Guards against the owner of a fingerprint forgetting a crash to make room for another.
+#[test]
+fn a_full_registry_refuses_new_fingerprints() {
+    let now = Instant::now();
+    let mut registry = Registry::new(2);
+    for fingerprint in [1, 2] {
+        registry.crashed(Fingerprint(fingerprint), now);
+    }
+    assert_eq!(registry.admit(Fingerprint(3), now), Admission::Full);
+    assert_eq!(registry.admit(Fingerprint(1), now), Admission::RunCanary);
+    let later = now + EXPIRY;
+    assert_eq!(registry.admit(Fingerprint(3), later), Admission::RunCanary);
+}
+
 /// Guards against a burst of connects, and against more than half of the leaf's connections.
 #[test]
 fn connects_are_bounded() {
--- a/lib/tests/owner_warmth.rs
+++ b/lib/tests/owner_warmth.rs
@@ -8,6 +8,7 @@
 use camphorhold::coordination::call::CallId;
 use camphorhold::coordination::call::Caller;
 use camphorhold::coordination::call::ConnectionId;
+use camphorhold::coordination::call::NotRun;
 use camphorhold::coordination::dispatch::Action;
 use camphorhold::coordination::dispatch::Answer;
 use camphorhold::coordination::dispatch::Input;
@@ -117,6 +118,8 @@
     now: Instant,
     next: u64,
     busy: Vec<(ConnectionId, CallId)>,
+    suspects: Vec<CallId>,
+    refused: Vec<NotRun>,
 }
 
 impl Served {
@@ -131,6 +134,8 @@
             now: Instant::now(),
             next: 0,
             busy: Vec::new(),
+            suspects: Vec::new(),
+            refused: Vec::new(),
         };
         served.handle(Input::Ownership(served.held()));
         while served.leaf.warmth().state() != State::Warm {
@@ -167,16 +172,22 @@
                 Action::Write {
                     connection, call, ..
                 } => self.busy.push((connection, call)),
+                Action::SuspectCrash { call } => self.suspects.push(call),
+                Action::Refuse { reason, .. } => self.refused.push(reason),
                 _ => {}
             }
         }
     }
 
     fn submit(&mut self) {
+        self.submit_within(Duration::from_secs(4));
+    }
+
+    fn submit_within(&mut self, time: Duration) {
         let submission = Submission {
             call: CallId(self.next),
             caller: Caller(0),
-            deadline: Self::wall() + Duration::from_secs(4),
+            deadline: Self::wall() + time,
             idempotent: true,
         };
         self.next += 1;
@@ -212,9 +223,10 @@
 #[test]
 fn a_reset_makes_the_warmth_unknown() {
     let mut served = Served::new();
-    let (connection, _) = served.busy[0];
+    let (connection, call) = served.busy[0];
     served.handle(Input::ConnectionLost { connection });
     served.assert_unknown();
+    assert_eq!(served.suspects, [call]);
     // The lost request may still run.
     assert_eq!(served.leaf.in_flight(), 2);
 }
@@ -266,3 +278,21 @@
     served.handle(Input::Ownership(served.held()));
     assert_eq!(served.leaf.warmth().state(), State::Warm);
 }
+
+/// Guards against a call taking a slot although its answer would come too late.
+#[test]
+fn a_call_that_cannot_be_answered_in_time_is_not_run() {
+    let mut served = Served::new();
+    let took = Duration::from_millis(50);
+    for _ in 0..400 {
+        served.submit();
+        served.now += took;
+        for (connection, call) in std::mem::take(&mut served.busy) {
+            served.answer(connection, call, 1, Temperature::Warm);
+        }
+    }
+    let written = served.busy.len();
+    served.submit_within(took / 5);
+    assert_eq!(served.refused, [NotRun::DeadlineTooClose]);
+    assert_eq!(served.busy.len(), written);
+}
