--- a/lib/tests/owner_parts.rs
+++ b/lib/tests/owner_parts.rs
@@ -27,6 +27,7 @@
 use camphorhold::coordination::warmth::Temperature;
 use camphorhold::coordination::warmth::Warmth;
 use camphorhold::state::file::ColdStart;
+use camphorhold::state::file::File;
 use camphorhold::state::id::Fingerprint;
 use camphorhold::state::id::LeafId;
 use camphorhold::state::id::ServerIncarnation;
@@ -232,6 +233,51 @@
     assert_eq!(status.leaving(now + 2 * drain::EXPIRY), Some(Source::File));
 }
 
+fn file(in_service: bool, leaving: bool) -> File {
+    let text = format!(
+        r#"
+        system = "test"
+        objective = "coverage"
+        [[failure_domain]]
+        name = "a"
+        in_service = {in_service}
+        [[failure_domain]]
+        name = "b"
+        [[service]]
+        name = "s"
+        deadline = "100ms"
+        slots = 2
+        connections = 4
+        shards = 1
+        serving = "v1"
+        [[service.version]]
+        name = "v1"
+        leafs = [{{ address = "127.0.0.1:7001", shard = 0, failure_domain = "a", leaving = {leaving} }}]
+        "#
+    );
+    File::parse(&text).expect("the file is valid")
+}
+
+/// Guards against a failure domain or a server that the file takes out going on to receive work,
+/// and against a file change clearing the server's own signal.
+#[test]
+fn the_file_takes_leafs_out_and_returns_them() {
+    let now = Instant::now();
+    let leaf: LeafId = "127.0.0.1:7001"
+        .parse()
+        .expect("a constant address is valid");
+    let mut table = drain::Table::default();
+    for (in_service, leaving) in [(false, false), (true, true)] {
+        table.apply_file(&file(in_service, leaving), now);
+        assert_eq!(table.leaving(leaf, now), Some(Source::File));
+        table.apply_file(&file(true, false), now);
+        assert_eq!(table.leaving(leaf, now), None);
+    }
+    table.take(leaf, Signal::Leaving(Source::Server), now);
+    table.apply_file(&file(true, false), now);
+    assert_eq!(table.leaving(leaf, now), Some(Source::Server));
+}
+
 /// Guards against a drain answer living for ever by being passed between instances.
 #[test]
 fn passed_on_drain_answers_keep_their_age() {
