--- a/lib/tests/owner_fuzz/transition.rs
+++ b/lib/tests/owner_fuzz/transition.rs
@@ -62,7 +62,7 @@
     },
     /// The server loses its caches without a restart.
     TurnCold,
-    /// One connection is reset; the server goes on.
+    /// One connection is reset; the server goes on. One with a request is preferred.
     Reset {
         pick: usize,
     },
@@ -79,6 +79,11 @@
     Resume {
         instance: usize,
     },
+    /// The owner is paused between a decision and the write, and resumes close to the end of its
+    /// ownership.
+    LateWrite {
+        ms: u64,
+    },
     /// The instance gets no evidence of currency.
     Cut {
         instance: usize,
@@ -114,7 +119,8 @@
 }
 
 fn traffic() -> BoxedStrategy<Transition> {
-    let instance = 0..INSTANCES;
+    // Numbers above the instances stand for the owner.
+    let instance = 0..2 * INSTANCES;
     prop_oneof![
         2 => (1_u8..50).prop_map(|rounds| Transition::Serve { rounds }),
         4 => (instance.clone(), 1_u8..8, 1_u64..900, any::<bool>()).prop_map(
@@ -165,7 +171,7 @@
         2 => (any::<bool>(), prop::bool::weighted(0.7))
             .prop_map(|(lies, resets)| Transition::Restart { lies, resets }),
         1 => Just(Transition::TurnCold),
-        1 => any::<usize>().prop_map(|pick| Transition::Reset { pick }),
+        3 => any::<usize>().prop_map(|pick| Transition::Reset { pick }),
         2 => mode.prop_map(Transition::Mode),
         1 => prop::bool::weighted(0.3).prop_map(Transition::Silent),
         1 => prop::bool::weighted(0.3).prop_map(Transition::RefuseConnections),
@@ -184,6 +190,7 @@
         1 => instance.clone().prop_map(|instance| Transition::Cut { instance }),
         2 => instance.clone().prop_map(|instance| Transition::Heal { instance }),
         3 => instance.prop_map(|to| Transition::Handover { to }),
+        2 => (2_700_u64..3_300).prop_map(|ms| Transition::LateWrite { ms }),
         1 => (source, prop::bool::weighted(0.3))
             .prop_map(|(source, leaving)| Transition::Leave { source, leaving }),
         1 => (1_u32..6).prop_map(|slots| Transition::Slots { slots }),
