--- a/lib/src/coordination/control/apply.rs
+++ b/lib/src/coordination/control/apply.rs
@@ -385,13 +385,10 @@
                         leaf_statuses.entry(leaf).or_insert(status);
                     }
                 }
-<<<<<<< HEAD
                 Fact::Evidence { bytes, .. } => {
                     evidence.insert(origin, Arc::from(bytes));
                 }
-=======
-                Fact::Evidence { .. } | Fact::Suspicion { .. } => {}
->>>>>>> control
+                Fact::Suspicion { .. } => {}
             }
         }
         view.revocations = Arc::new(revocations);
