coordination: state the figures behind the burst of the budget

The comment claimed twice the p99 latency, which is not what was measured. It now gives the figures of both runs of the experiment.

Ran: cargo fmt, clippy with warnings denied, cargo test -p camphorhold.

--- a/lib/src/coordination/budget.rs
+++ b/lib/src/coordination/budget.rs
@@ -20,7 +20,8 @@
 
 /// The most extra calls that can be saved up. One query to 830 shards earns 42 when it starts and
 /// needs them about 7 ms later, so a cap near 42 loses what overlapping queries earn: at 200
-/// queries/s a cap of 50 gave half of the permitted hedges and twice the p99 latency.
+/// queries/s (`examples/entry_tail.rs`), a cap of 50 permitted 2.5 % extra calls and a p99 of 31 ms, a
+/// cap of 100 permitted 3.8 % and 26 ms.
 pub const BURST: u32 = 100;
 
 /// Share of failed primary calls, in percent, above which the budget is in a fault.
