--- a/lib/tests/control_cases.rs
+++ b/lib/tests/control_cases.rs
@@ -216,6 +216,7 @@
     let candidate = Candidate {
         instance: old,
         address: address(0),
+        traffic_address: address(0),
         failure_domain: domain(),
     };
     let added = base().with_roster_change(OperationId(2), &[candidate], &[].into());
