--- a/lib/src/coordination/rollout/driver.rs
+++ b/lib/src/coordination/rollout/driver.rs
@@ -28,7 +28,8 @@
 /// larger share: at high load the proof takes milliseconds.
 pub const DWELL: Duration = Duration::from_secs(10);
 
-/// How long a proposal may be on its way before it is made again.
+/// How long a proposal may be on its way before it is made again. [`RANK_DELAY`] is added per
+/// rank, so that 1,900 instances together repeat at most about 15 proposals a second.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Instances propose to take an unfinished rollout back one after the other, at this distance, so
@@ -86,7 +87,8 @@
 pub struct Driver {
     plan: Plan,
     judge: Judge,
-    last_stage: Option<Stage>,
+    /// The last stage seen, and since when.
+    last_stage: Option<(Stage, SystemTime)>,
     proposed: Option<(Stage, Stage, SystemTime)>,
     revoked: bool,
 }
@@ -107,7 +109,7 @@
 
     /// Takes a look at the evidence and decides. Call it several times a second.
     pub fn tick(&mut self, input: Input<'_>) -> Vec<Action> {
-        let mut actions = self.note_stage(input.view.stage);
+        let mut actions = self.note_stage(input.view.stage, input.wall);
         self.judge.begin_step(input.view.stage.share_permille());
         let verdict = self.judge.look(input.evidence);
         if !input.view.current {
@@ -123,11 +125,15 @@
     }
 
     /// Records that the stage in the record has changed.
-    fn note_stage(&mut self, stage: &Stage) -> Vec<Action> {
-        if self.last_stage.as_ref() == Some(stage) {
+    fn note_stage(&mut self, stage: &Stage, wall: SystemTime) -> Vec<Action> {
+        if self
+            .last_stage
+            .as_ref()
+            .is_some_and(|(last, _)| last == stage)
+        {
             return Vec::new();
         }
-        self.last_stage = Some(stage.clone());
+        self.last_stage = Some((stage.clone(), wall));
         self.proposed = None;
         let stage = event::Reason(stage.to_string().into());
         vec![Action::Event {
@@ -160,7 +166,7 @@
         let pending = self.proposed.as_ref().is_some_and(|(expected, last, at)| {
             let same = expected == input.view.stage
                 && std::mem::discriminant(last) == std::mem::discriminant(&stage);
-            same && input.wall < *at + PROPOSAL_TIMEOUT
+            same && input.wall < *at + PROPOSAL_TIMEOUT + RANK_DELAY * input.rank
         });
         if pending {
             return;
@@ -180,7 +186,7 @@
                 .stage_for_verdict(input, verdict)
                 .or_else(|| self.stage_for_deadline(input))
                 .or_else(|| self.stage_for_progress(input, verdict)),
-            Stage::Completed if input.missed => Some(taken_back(Reason::Deadline)),
+            Stage::Completed if input.missed => self.stage_for_deadline(input),
             Stage::Completed => self.stage_for_verdict(input, verdict),
         }
     }
@@ -194,9 +200,13 @@
         }
     }
 
+    /// Takes the rollout back near the deadline, and after it where a late completion is ignored.
+    /// The instances act in the order of their ranks from the time when the stage became known.
     fn stage_for_deadline(&self, input: Input<'_>) -> Option<Stage> {
-        let begin = self.plan.deadline - SETTLE / 2 + RANK_DELAY * input.rank;
-        (input.wall >= begin).then(|| taken_back(Reason::Deadline))
+        let begin = self.plan.deadline - SETTLE / 2;
+        let known = self.last_stage.as_ref().map_or(begin, |(_, at)| *at);
+        let turn = begin.max(known) + RANK_DELAY * input.rank;
+        (input.wall >= turn).then(|| taken_back(Reason::Deadline))
     }
 
     fn stage_for_progress(&self, input: Input<'_>, verdict: &Verdict) -> Option<Stage> {
--- a/lib/src/coordination/rollout/evidence.rs
+++ b/lib/src/coordination/rollout/evidence.rs
@@ -96,6 +96,9 @@
 }
 
 /// Everything that one instance has counted.
+///
+/// A process that draws a new instance id starts with a new [`Recorder`]; otherwise its earlier
+/// requests would count twice.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Rises with every change, so that the later of two reports of an instance is known.
@@ -259,6 +262,12 @@
         self.reports.retain(|instance, _| live.contains(instance));
     }
 
+    /// Returns the report of an instance.
+    #[must_use]
+    pub fn get(&self, instance: InstanceId) -> Option<&Report> {
+        self.reports.get(&instance)
+    }
+
     /// Iterates over the reports.
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Report)> {
         self.reports.iter()
--- a/lib/src/coordination/rollout/verdict.rs
+++ b/lib/src/coordination/rollout/verdict.rs
@@ -107,6 +107,8 @@
     /// Sums over the instances what each counted under the present share since the last look.
     fn increments(&mut self, pool: &Pool) -> BTreeMap<ServiceName, BTreeMap<Route, Pair>> {
         let mut sums: BTreeMap<ServiceName, BTreeMap<Route, Pair>> = BTreeMap::new();
+        self.seen
+            .retain(|instance, _| pool.get(*instance).is_some());
         for (instance, report) in pool.iter() {
             let Some(step) = report.rollouts.get(&self.rollout) else {
                 continue;
--- a/lib/tests/rollout_driver.rs
+++ b/lib/tests/rollout_driver.rs
@@ -231,3 +231,34 @@
         assert_eq!(proposed, NONE, "at {share}");
     }
 }
+
+/// Guards against 1,900 instances that write at the same moment: each waits for its turn, and
+/// repeats more rarely the later its turn is.
+#[test]
+fn instances_take_back_in_the_order_of_their_ranks() {
+    let deadline = from_unix_millis(DEADLINE_MS);
+    let (stage, evidence) = (running(200), Pool::default());
+    let mut driver = driver();
+    let mut proposed_at = Vec::new();
+    for second in 0..120 {
+        let wall = deadline - SETTLE / 2 + Duration::from_secs(second);
+        let mut standby = input(&stage, &evidence, wall);
+        (standby.driving, standby.rank) = (false, 40);
+        if !proposals(&driver.tick(standby)).is_empty() {
+            proposed_at.push(second);
+        }
+    }
+    assert_eq!(proposed_at, [20, 42, 64, 86, 108]);
+}
+
+/// Guards against a late completion that stays in the record after everyone has ignored it.
+#[test]
+fn a_late_completion_is_overwritten() {
+    let after = from_unix_millis(DEADLINE_MS) + Duration::from_secs(5);
+    let evidence = Pool::default();
+    let mut ignoring = input(&Stage::Completed, &evidence, after);
+    (ignoring.driving, ignoring.missed) = (false, true);
+    let reason = Reason::Deadline;
+    let actions = driver().tick(ignoring);
+    assert_eq!(proposals(&actions), [Stage::TakenBack { reason }]);
+}
--- a/lib/tests/rollout_verdict.rs
+++ b/lib/tests/rollout_verdict.rs
@@ -275,3 +275,17 @@
         assert!(!matches!(verdict, Verdict::Bad(_)), "{verdict:?}");
     }
 }
+
+/// Guards against a rare route that holds a rollout for hours: it gets one request in 200 looks,
+/// the other route ten per look.
+#[test]
+fn a_rare_route_needs_no_proof() {
+    let mut source = Source::with_history(1);
+    let main = source.routes.clone();
+    source.begin_step(500);
+    source.routes = vec!["rare".parse().expect("a valid name")];
+    source.look(1, GOOD, GOOD);
+    source.routes = main;
+    let mut verdicts = (0..200).map(|_| source.look(10, GOOD, GOOD));
+    assert!(verdicts.any(|verdict| verdict == Verdict::Proved));
+}
