cli: test late effects and expected revisions

Three mutations of the commands had no failing test: a new operation id for each request, no expected revision, and a query repeated for the status 503 whatever its outcome says. The tests now have a change that takes effect after it was looked up and sent again, look at the requests themselves, and answer 503 with an unknown outcome.

--- a/cli/tests/apply.rs
+++ b/cli/tests/apply.rs
@@ -8,6 +8,7 @@
 mod support;
 
 use camphorhold::protocol::control::Refusal;
+use camphorhold::state::id::Revision;
 use expect_test::expect;
 use support::CLOSED;
 use support::FILE;
@@ -124,6 +125,38 @@
     }
 }
 
+/// Guards against a change that is applied twice, or called rejected, because it takes effect only
+/// after it was looked up and sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_lands_late_is_recognised() {
+    let instance = Instance::new(1);
+    instance.state().script = vec![Script::ApplyLate];
+    let address = instance.clone().serve().await.to_string();
+    let file = file(&changed());
+    let output = run(&["--instance", &address, "apply", path(&file)]).await;
+    assert_eq!(output.code, Some(0), "{}", output.stdout);
+    let state = instance.state();
+    assert_eq!((state.applied, state.revision), (1, 5));
+    assert_eq!(state.requests.len(), 2);
+    assert_eq!(state.requests[0], state.requests[1]);
+}
+
+/// Guards against a request that could overwrite a change accepted after the file was read.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_request_names_the_revision_it_follows() {
+    let instance = Instance::new(1);
+    let address = instance.clone().serve().await.to_string();
+    let file = file(&changed());
+    run(&["--instance", &address, "apply", path(&file)]).await;
+    let expected: Vec<_> = instance
+        .state()
+        .requests
+        .iter()
+        .map(|r| r.expected_revision)
+        .collect();
+    assert_eq!(expected, [Some(Revision(4))]);
+}
+
 /// Guards against a change that is sent again over the change of another operator.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_dropped_change_is_rejected_when_another_one_went_first() {
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -74,6 +74,8 @@
     ApplyUnknown,
     /// Drops the change, and answers that the outcome is unknown.
     DropUnknown,
+    /// Answers that the outcome is unknown, and applies the file when the next request arrives.
+    ApplyLate,
     /// Drops the change, accepts one of another operator, and answers that the outcome is unknown.
     DropForOther,
 }
@@ -88,6 +90,10 @@
     /// How often a file was applied.
     pub applied: usize,
     pub script: Vec<Script>,
+    /// The requests to apply a file.
+    pub requests: Vec<ApplyRequest>,
+    /// A change that takes effect late.
+    pub late: Option<ApplyRequest>,
     /// Whether the key-value service cannot be read.
     pub store_down: bool,
 }
@@ -134,6 +140,8 @@
             operations: BTreeMap::new(),
             applied: 0,
             script: Vec::new(),
+            requests: Vec::new(),
+            late: None,
             store_down: false,
         };
         Self {
@@ -173,6 +181,10 @@
 impl ControlServer for Instance {
     async fn apply(&self, request: ApplyRequest) -> RpcResult<ApplyAnswer> {
         let mut state = self.state();
+        if let Some(late) = state.late.take() {
+            state.accept(&late.text, late.operation);
+        }
+        state.requests.push(request.clone());
         let base = Generation(state.generation);
         if let Some((revision, generation)) = state.operations.get(&request.operation) {
             return Ok(ApplyAnswer::Accepted {
@@ -209,6 +221,10 @@
         match script {
             Some(Script::Refuse(reason)) => Ok(ApplyAnswer::NotAccepted { reason }),
             Some(Script::DropUnknown) => Ok(ApplyAnswer::Unknown { base }),
+            Some(Script::ApplyLate) => {
+                state.late = Some(request);
+                Ok(ApplyAnswer::Unknown { base })
+            }
             Some(Script::DropForOther) => {
                 state.other_change();
                 Ok(ApplyAnswer::Unknown { base })
--- a/cli/tests/views.rs
+++ b/cli/tests/views.rs
@@ -229,6 +229,9 @@
     \"coverage\":{\"answered\":19,\"in_scope\":20},\"hits\":[{\"id\":1}],\"server_time_ms\":4}";
 const UNKNOWN: &str = "HTTP/1.1 504 Gateway Timeout\r\nconnection: close\r\n\r\n\
     {\"request_id\":\"0a\",\"outcome\":\"unknown\",\"reason\":\"connection lost\"}";
+/// The outcome counts, not the status.
+const UNKNOWN_WITH_503: &str = "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n\
+    {\"request_id\":\"0a\",\"outcome\":\"unknown\"}";
 const WRONG_TENANT: &str = "HTTP/1.1 403 Forbidden\r\nconnection: close\r\n\r\nwrong tenant";
 
 async fn query(responses: Vec<&'static str>) -> support::Output {
@@ -276,6 +279,8 @@
     "#]]
     .assert_eq(&output.stdout);
     assert_eq!(output.code, Some(4));
+    let unknown = query(vec![UNKNOWN_WITH_503, ANSWERED]).await;
+    assert_eq!(unknown.code, Some(4), "{}", unknown.stdout);
     let broken = query(vec!["", ANSWERED]).await;
     assert_eq!(broken.code, Some(4), "{}", broken.stdout);
     let refused = query(vec![WRONG_TENANT]).await;
