rollout: compare with a margin once the old version carries no traffic

Cause: a good version was taken back 3 s after its completion on a machine whose load had risen, because its requests were compared with the p95 that the old version had had some seconds earlier. Ruled out: a slower new version (both versions are the same program with the same settings). Change: at full share a request counts as slow above twice that p95. The rollout fuzz still takes back every bad version (slow by a factor of 4).

--- a/lib/src/coordination/rollout/evidence.rs
+++ b/lib/src/coordination/rollout/evidence.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::FULL_SHARE;
 use super::share::Side;
 use crate::state::id::InstanceId;
 use crate::state::id::RolloutId;
@@ -20,6 +21,11 @@
 /// that end before are not compared.
 const LATENCY_WARM_UP: u32 = 20;
 
+/// At full share there is no old version to compare with at the same time, and its last p95 no
+/// longer follows the load. A request then counts as slow above this multiple of it. With a factor
+/// of 1 a good version was taken back 3 s after its completion because the machine was busier.
+const ALONE_FACTOR: f64 = 2.0;
+
 /// Cumulative counts of one version.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counters {
@@ -139,8 +145,8 @@
         self.observations >= LATENCY_WARM_UP
     }
 
-    fn is_exceeded_by(self, latency: Duration) -> bool {
-        self.is_known() && log_seconds(latency) > self.log_seconds
+    fn is_exceeded_by(self, latency: Duration, factor: f64) -> bool {
+        self.is_known() && log_seconds(latency) > self.log_seconds + factor.ln()
     }
 
     fn observe(&mut self, latency: Duration) {
@@ -196,7 +202,12 @@
         let latencies = entry(&mut self.latencies, sample.rollout);
         let percentile = entry(entry(latencies, sample.service), sample.route);
         let timed = percentile.is_known();
-        let slow = percentile.is_exceeded_by(sample.latency);
+        let factor = if sample.share_permille == FULL_SHARE {
+            ALONE_FACTOR
+        } else {
+            1.0
+        };
+        let slow = percentile.is_exceeded_by(sample.latency, factor);
         if sample.side == Side::Old {
             percentile.observe(sample.latency);
         }
