daemon: note forwarded leaf calls at their owner

A request could be followed only at its entry instance: the owner of the leafs recorded nothing, so the timeline ended at 'forwarded'. Idempotent requests were the ones concerned; requests with a key were noted as admitted at the key's owner.

The owner now records calls_received with the sender and the number of calls.

--- a/daemon/src/peer.rs
+++ b/daemon/src/peer.rs
@@ -17,6 +17,8 @@
 use camphorhold::protocol::peer::Part;
 use camphorhold::protocol::peer::append_frame;
 use camphorhold::protocol::peer::decode;
+use camphorhold::state::event::Kind;
+use camphorhold::state::event::Subject;
 use futures::stream;
 use hyper::body::Frame;
 use tokio::sync::mpsc;
@@ -34,6 +36,7 @@
 use crate::leaf::Job;
 use crate::leaf::Pool;
 use crate::leaf::Submitted;
+use crate::timeline::Recorder;
 
 /// The largest message with leaf calls, in bytes: 4,096 calls and a query text fit in twice.
 const MAX_BODY_BYTES: usize = 512 * 1024;
@@ -41,17 +44,33 @@
 /// Calls of other instances that are in flight here.
 pub struct Peers {
     leafs: Arc<Pool>,
+    recorder: Arc<Recorder>,
     batches: Mutex<HashMap<u64, HashMap<u64, Submitted>>>,
 }
 
 impl Peers {
-    pub fn new(leafs: Arc<Pool>) -> Self {
+    pub fn new(leafs: Arc<Pool>, recorder: Arc<Recorder>) -> Self {
         Self {
             leafs,
+            recorder,
             batches: Mutex::new(HashMap::new()),
         }
     }
 
+    /// Notes the arrival, so that the request can be followed from its entry instance to here.
+    fn note(&self, message: &Calls) {
+        let subject = Subject {
+            request: Some(message.query.request_id),
+            service: Some(message.query.service.clone()),
+            ..Subject::default()
+        };
+        let kind = Kind::CallsReceived {
+            from: message.from,
+            calls: u32::try_from(message.calls.len()).unwrap_or(u32::MAX),
+        };
+        self.recorder.record(kind, subject);
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<u64, HashMap<u64, Submitted>>> {
         self.batches.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -106,6 +125,7 @@
             return empty(StatusCode::BAD_REQUEST);
         }
     };
+    peers.note(&message);
     let batch = submit(peers, message);
     // The stream ends with the last result, or when the other instance goes.
     let frames = stream::unfold(batch, next_frame);
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -158,7 +158,7 @@
     tokio::spawn(Arc::clone(&leafs).follow(control.clone()));
     tokio::spawn(Arc::clone(&entry).follow());
     tokio::spawn(Arc::clone(&entry).run_timers());
-    let peers = Arc::new(Peers::new(Arc::clone(&leafs)));
+    let peers = Arc::new(Peers::new(Arc::clone(&leafs), Arc::clone(&recorder)));
     start(entry::router(Arc::clone(&entry)), listeners.callers)?;
     start(peer::router(peers, Arc::clone(&entry)), listeners.peers)?;
     start(
--- a/lib/src/state/event.rs
+++ b/lib/src/state/event.rs
@@ -131,6 +131,13 @@
         /// The number of leaf calls.
         calls: u32,
     },
+    /// Leaf calls of a request that another instance forwarded arrived.
+    CallsReceived = "calls_received" {
+        /// The instance that forwarded them.
+        from: InstanceId,
+        /// The number of leaf calls.
+        calls: u32,
+    },
     /// A second request was sent while the first was outstanding.
     Hedged = "hedged" {},
     /// A leaf call was sent again after a failure.
