daemon: read too long bodies before refusing them

The answer 413 (400 on the port for instances) was written while the sender was still sending. The connection was then closed with unread bytes, which resets it, and the sender lost the answer. The rest of the body is now read and dropped, up to 4 MiB beyond the limit.

Ruled out: a crash of the daemon, which lived on in all runs.

--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use volo_http::body::Body;
 use volo_http::http::StatusCode;
 use volo_http::http::header;
@@ -14,6 +14,9 @@
 /// that slow senders do not pile up.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How much of a body is read and dropped beyond its limit before its connection is closed.
+const MAX_DROPPED_BYTES: usize = 4 * 1024 * 1024;
+
 /// Why a request body could not be read.
 #[derive(Clone, Copy, Debug, thiserror::Error, PartialEq, Eq)]
 pub enum BodyError {
@@ -27,12 +30,33 @@
 
 /// Reads a whole body of at most `limit` bytes.
 pub async fn read_body(body: Body, limit: usize) -> Result<Bytes, BodyError> {
-    let collected = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
-        Ok(Err(_)) | Err(_) => Err(BodyError::Incomplete),
+    match tokio::time::timeout(BODY_TIMEOUT, collect(body, limit)).await {
+        Ok(collected) => collected,
+        Err(_) => Err(BodyError::Incomplete),
+    }
+}
+
+/// Collects a body. What exceeds the limit is read and dropped, because a connection that is closed
+/// with unread bytes is reset, and the sender then loses the answer that says why.
+async fn collect(mut body: Body, limit: usize) -> Result<Bytes, BodyError> {
+    let mut collected = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Incomplete)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        length += data.len();
+        if length <= limit {
+            collected.extend_from_slice(&data);
+        } else if length > limit + MAX_DROPPED_BYTES {
+            break;
+        }
+    }
+    if length > limit {
+        return Err(BodyError::TooLong);
     }
+    Ok(collected.freeze())
 }
 
 /// Builds a JSON response.
