--- a/daemon/src/entry/calls.rs
+++ b/daemon/src/entry/calls.rs
@@ -20,6 +20,7 @@
 use camphorhold::transport::peer::Forwarder;
 use tokio::sync::mpsc;
 
+use crate::baseline::Baseline;
 use crate::leaf::Job;
 use crate::leaf::Pool;
 use crate::leaf::Submitted;
@@ -166,7 +167,7 @@
     let Some(assignment) = view.ownership.leaf(leaf) else {
         return Owner::None;
     };
-    if assignment.owner == view.instance {
+    if assignment.owner == view.instance || Baseline::EveryInstanceConnects.is_chosen() {
         return Owner::Here;
     }
     match view.record.member(assignment.owner) {
--- a/daemon/src/entry/lanes.rs
+++ b/daemon/src/entry/lanes.rs
@@ -16,6 +16,7 @@
 use camphorhold::coordination::query::Context;
 use camphorhold::coordination::replica::Exclusion;
 use camphorhold::coordination::replica::LeafIndex;
+use camphorhold::coordination::replica::Policy;
 use camphorhold::coordination::replica::Table;
 use camphorhold::state::file::File;
 use camphorhold::state::file::Leaf;
@@ -29,6 +30,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::baseline::Baseline;
+
 /// Calls in flight that a lane has room for without growing.
 const EXPECTED_CALLS: usize = 1024;
 
@@ -49,8 +52,13 @@
 impl Lane {
     fn new(shards: u32, leafs: Vec<Leaf>, now: Instant) -> Self {
         let leaf_shards: Vec<ShardId> = leafs.iter().map(|leaf| leaf.shard).collect();
+        let policy = if Baseline::RandomReplica.is_chosen() {
+            Policy::Random
+        } else {
+            Policy::default()
+        };
         Self {
-            replicas: Table::new(shards, &leaf_shards, now),
+            replicas: Table::new(shards, &leaf_shards, now).with_policy(policy),
             leafs,
             hedge: Delay::new(now),
             budget: Budget::new(now),
@@ -103,6 +111,7 @@
             let owner = view.ownership.leaf(leaf.id);
             let unowned = match owner {
                 None => true,
+                _ if Baseline::EveryInstanceConnects.is_chosen() => false,
                 Some(owner) if owner.owner == view.instance => !view.ownership.ready(leaf.id, now),
                 Some(_) => false,
             };
--- a/daemon/src/entry/mod.rs
+++ b/daemon/src/entry/mod.rs
@@ -54,6 +54,7 @@
 use self::gate::Permit;
 use self::lanes::Lanes;
 use self::once::Windows;
+use crate::baseline::Baseline;
 use crate::canary;
 use crate::canary::Canaries;
 use crate::canary::Permission;
@@ -332,7 +333,9 @@
         }
         match finished {
             Ok(finished) => {
-                permit.measured(finished.measurement);
+                if let Some(permit) = &mut permit {
+                    permit.measured(finished.measurement);
+                }
                 let duration = SystemClock.now().saturating_duration_since(started);
                 answer::from_query(id, finished.answer, duration)
             }
@@ -345,7 +348,10 @@
         request: &CallerRequest,
         service: &Service,
         plan: &Plan,
-    ) -> Result<Permit, AnswerBody> {
+    ) -> Result<Option<Permit>, AnswerBody> {
+        if Baseline::NoLimits.is_chosen() {
+            return Ok(None);
+        }
         let id = request.request_id.unwrap_or_default();
         let found = self.gates.get(&request.service, &request.tenant);
         let (gate, tenant) = found.ok_or_else(|| answer::not_run(id, &Refusal::NoFile))?;
@@ -357,6 +363,7 @@
         };
         gate.enter(&offer)
             .await
+            .map(Some)
             .map_err(|refusal| answer::not_run(id, &refusal))
     }
 
@@ -412,7 +419,7 @@
             scope: &plan.scope,
             deadline: plan.deadline,
             idempotent: plan.idempotent,
-            hedging: service.hedging,
+            hedging: service.hedging && !Baseline::NoHedging.is_chosen(),
             minimum: service.partial.minimum,
             patience: service.partial.patience,
             canary,
--- a/daemon/src/leaf/actor.rs
+++ b/daemon/src/leaf/actor.rs
@@ -48,6 +48,7 @@
 use super::connection::Event;
 use super::connection::Order;
 use super::observation::Observation;
+use crate::baseline::Baseline;
 
 /// How often the state machine sees time pass while it has work.
 const BUSY_TICK: Duration = Duration::from_millis(5);
@@ -234,10 +235,12 @@
         };
         self.input(Input::Drain(signal));
         let assignment = view.ownership.leaf(self.leaf);
-        let owned = assignment.is_some_and(|assignment| assignment.owner == view.instance);
+        let everyone = Baseline::EveryInstanceConnects.is_chosen();
+        let owned =
+            assignment.is_some_and(|assignment| everyone || assignment.owner == view.instance);
         let now = SystemClock.now();
         let ownership = match view.valid_until {
-            Some(valid_until) if owned && view.ownership.ready(self.leaf, now) => {
+            Some(valid_until) if owned && (everyone || view.ownership.ready(self.leaf, now)) => {
                 Ownership::Held { valid_until }
             }
             _ if owned => Ownership::Waiting,
--- a/daemon/src/leaf/mod.rs
+++ b/daemon/src/leaf/mod.rs
@@ -27,6 +27,7 @@
 pub use self::actor::Job;
 pub use self::actor::State;
 use self::actor::Target;
+use crate::baseline::Baseline;
 use crate::control::Handle;
 
 /// The tasks of the owned leafs.
@@ -124,7 +125,9 @@
             return;
         };
         for (leaf, assignment) in view.ownership.leafs() {
-            if assignment.owner != view.instance || self.is_active(leaf) {
+            let owned =
+                assignment.owner == view.instance || Baseline::EveryInstanceConnects.is_chosen();
+            if !owned || self.is_active(leaf) {
                 continue;
             }
             let Some((target, policy)) = target(file, leaf, &status_route) else {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! `camphorholdd`: one instance of the query tier.
 
 mod admin;
+mod baseline;
 mod canary;
 mod control;
 mod entry;
@@ -32,6 +33,7 @@
         Ok(logger) => logger,
         Err(error) => return fail(&miette::miette!("cannot log: {error}")),
     };
+    baseline::choose(settings.baselines.clone());
     match process::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&Report::new(error)),
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -11,6 +11,8 @@
 use miette::Diagnostic;
 use thiserror::Error;
 
+use crate::baseline::Baseline;
+
 /// One instance of the camphorhold query tier.
 ///
 /// Every flag can also be given as the environment variable named beside it; the flag wins.
@@ -109,6 +111,16 @@
         default_value = "info"
     )]
     log: String,
+
+    /// Parts to replace by simpler ones, for experiments only.
+    #[arg(
+        long,
+        env = "CAMPHORHOLD_BASELINE",
+        value_delimiter = ',',
+        value_enum,
+        hide = true
+    )]
+    baseline: Vec<Baseline>,
 }
 
 /// Checked settings.
@@ -142,6 +154,8 @@
     pub events_kept: usize,
     /// What to log.
     pub log: Box<str>,
+    /// Parts to replace by simpler ones.
+    pub baselines: Vec<Baseline>,
 }
 
 /// One setting with a value that is not permitted.
@@ -245,6 +259,7 @@
             traffic_threads: traffic_threads?,
             events_kept: events_kept?,
             log: flags.log.as_str().into(),
+            baselines: flags.baseline.clone(),
         })
     }
 
