--- a/testutils/src/balancer.rs
+++ b/testutils/src/balancer.rs
@@ -57,10 +57,13 @@
     pub poll: Duration,
     /// The delay of each direction.
     pub delay: Duration,
+    /// The distance from the port of an instance to the port that answers `/readyz` for it.
+    pub probe_offset: u16,
 }
 
 impl Config {
-    /// Returns the platform's settings: free ports, a poll each 500 ms and no delay.
+    /// Returns the platform's settings: free ports, a poll each 500 ms at the
+    /// instance's own port and no delay.
     #[must_use]
     pub fn new(instances: Vec<SocketAddr>) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -70,6 +73,7 @@
             instances,
             poll: Duration::from_millis(500),
             delay: Duration::ZERO,
+            probe_offset: 0,
         }
     }
 }
@@ -124,13 +128,13 @@
         set_instances(&state, config.instances);
         let gate = Gate::new(Admission::default());
         let admin = Server::start(config.admin, gate, routes(&state)).await?;
-        poll(&state).await;
+        poll(&state, config.probe_offset).await;
         let mut tasks = JoinSet::new();
         let polled = Arc::clone(&state);
         tasks.spawn(async move {
             loop {
                 tokio::time::sleep(config.poll).await;
-                poll(&polled).await;
+                poll(&polled, config.probe_offset).await;
             }
         });
         tasks.spawn(accept(listener, Arc::clone(&state), config.delay));
@@ -196,10 +200,11 @@
         )
 }
 
-async fn poll(state: &Mutex<State>) {
+async fn poll(state: &Mutex<State>, probe_offset: u16) {
     let addresses: Vec<SocketAddr> = lock(state).counters.instances.keys().copied().collect();
     let polls = addresses.into_iter().map(|address| async move {
-        let asked = client::status(address, "/readyz");
+        let port = address.port().saturating_add(probe_offset);
+        let asked = client::status(SocketAddr::new(address.ip(), port), "/readyz");
         let answer = tokio::time::timeout(INSTANCE_TIMEOUT, asked).await;
         let ready = matches!(answer, Ok(Ok(200)));
         // The instance may have been taken from the list meanwhile.
--- a/testutils/src/bin/standin-balancer.rs
+++ b/testutils/src/bin/standin-balancer.rs
@@ -28,6 +28,9 @@
     /// The delay of each direction.
     #[arg(long, default_value = "0ms", value_parser = humantime::parse_duration)]
     delay: Duration,
+    /// The distance from the port of an instance to the port that answers `/readyz` for it.
+    #[arg(long, default_value_t = 0)]
+    probe_offset: u16,
 }
 
 fn main() -> ExitCode {
@@ -39,6 +42,7 @@
             instances: arguments.instances,
             poll: arguments.poll,
             delay: arguments.delay,
+            probe_offset: arguments.probe_offset,
         })
         .await?;
         let ready = json!({
