--- /dev/null
+++ b/bench/src/deployment.rs
@@ -0,0 +1,234 @@
+//! The file of a deployment, with ports that are free on this machine.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use camphorhold::state::file;
+use camphorhold::state::id::FailureDomain;
+use clap::ValueEnum;
+use toml_edit::DocumentMut;
+use toml_edit::value;
+
+use crate::error::Error;
+
+/// Ports of one run: the first [`LEAF_PORTS`] for leafs, the rest for instances.
+pub const BLOCK_PORTS: u16 = 600;
+
+/// The ports of leafs in the example files lie in a range of this size.
+pub const LEAF_PORTS: u16 = 400;
+
+/// Blocks lie below the range of ports that the system hands out to clients.
+const FIRST_BLOCK: u16 = 10_000;
+const BLOCKS: u16 = 36;
+
+/// One of the two shipped deployments.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Deployment {
+    /// Coverage weighs most.
+    Almisse,
+    /// Worth of answers in time weighs most.
+    Sarro,
+}
+
+/// A service that load is sent to.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Its shards.
+    pub shards: u32,
+    /// The tenants that may call it.
+    pub tenants: Vec<String>,
+    /// The time after which an answer is useless.
+    pub deadline: Duration,
+    /// The worth of an answer.
+    pub worth: f64,
+    /// The slots of all its leafs.
+    pub slots: u32,
+    /// The addresses of its leafs, by shard.
+    pub leafs: BTreeMap<u32, Vec<SocketAddr>>,
+}
+
+/// The operators' file of a run, which can be changed.
+#[derive(Clone, Debug)]
+pub struct File {
+    document: DocumentMut,
+}
+
+impl Deployment {
+    /// Returns its name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Almisse => "almisse",
+            Self::Sarro => "sarro",
+        }
+    }
+
+    /// Returns the service with many small shards that most experiments use.
+    pub fn search_service(self) -> &'static str {
+        match self {
+            Self::Almisse => "round-app",
+            Self::Sarro => "reminder-console",
+        }
+    }
+
+    /// Returns the service that takes non-idempotent requests.
+    pub fn once_service(self) -> &'static str {
+        match self {
+            Self::Almisse => "gift-ledger",
+            Self::Sarro => "reminder-console",
+        }
+    }
+
+    fn text(self) -> (&'static str, u16) {
+        match self {
+            Self::Almisse => (include_str!("../../examples/almisse.toml"), 21_000),
+            Self::Sarro => (include_str!("../../examples/sarro.toml"), 23_000),
+        }
+    }
+
+    /// Returns the file with its leafs moved to the block of ports at `first`.
+    pub fn file(self, first: u16) -> Result<File, Error> {
+        let (text, base) = self.text();
+        let mut document: DocumentMut = text
+            .parse()
+            .map_err(|error: toml_edit::TomlError| Error::File(error.to_string()))?;
+        for leaf in leaf_tables(&mut document) {
+            let address = leaf.get("address").and_then(toml_edit::Value::as_str);
+            let address: Option<SocketAddr> = address.and_then(|text| text.parse().ok());
+            let offset = address.and_then(|address| address.port().checked_sub(base));
+            let offset = offset.filter(|offset| *offset < LEAF_PORTS);
+            let offset = offset.ok_or_else(|| Error::File("a leaf's port".into()))?;
+            leaf.insert("address", loopback(first + offset).to_string().into());
+        }
+        Ok(File { document })
+    }
+}
+
+impl File {
+    /// Returns the text.
+    pub fn text(&self) -> String {
+        self.document.to_string()
+    }
+
+    /// Parses the text as an instance does.
+    pub fn parsed(&self) -> Result<file::File, Error> {
+        file::File::parse(&self.text()).map_err(|problems| {
+            let messages: Vec<&str> = problems.iter().map(|problem| &*problem.message).collect();
+            Error::File(messages.join("; "))
+        })
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Result<Service, Error> {
+        let parsed = self.parsed()?;
+        let found = parsed.services.iter().find(|(key, _)| key.as_str() == name);
+        let (_, service) = found.ok_or_else(|| Error::File(format!("no service {name}")))?;
+        let permitted = |tenant: &&camphorhold::state::id::Tenant| {
+            service.tenants.is_empty() || service.tenants.contains(*tenant)
+        };
+        let tenants = parsed.tenants.keys().filter(permitted);
+        let tenants = tenants.map(ToString::to_string).collect();
+        let mut leafs: BTreeMap<u32, Vec<SocketAddr>> = BTreeMap::new();
+        for leaf in service.versions.values().flatten() {
+            leafs.entry(leaf.shard.0).or_default().push(leaf.id.0);
+        }
+        let count: usize = leafs.values().map(Vec::len).sum();
+        Ok(Service {
+            name: name.to_owned(),
+            shards: service.shards,
+            tenants,
+            deadline: service.deadline,
+            worth: service.worth.0,
+            slots: service.slots.0 * u32::try_from(count).unwrap_or(u32::MAX),
+            leafs,
+        })
+    }
+
+    /// Returns the failure domains in the order of the file.
+    pub fn domains(&self) -> Result<Vec<FailureDomain>, Error> {
+        let parsed = self.parsed()?;
+        Ok(parsed.failure_domains.keys().cloned().collect())
+    }
+
+    /// Returns the leafs of a service in a failure domain.
+    pub fn leafs_in(
+        &self,
+        service: &str,
+        domain: &FailureDomain,
+    ) -> Result<Vec<SocketAddr>, Error> {
+        let parsed = self.parsed()?;
+        let leafs = parsed.leafs();
+        let leafs = leafs
+            .filter(|(name, _, leaf)| name.as_str() == service && leaf.failure_domain == *domain);
+        Ok(leafs.map(|(_, _, leaf)| leaf.id.0).collect())
+    }
+
+    /// Takes a failure domain out of service, or back.
+    pub fn set_in_service(&mut self, domain: &FailureDomain, in_service: bool) {
+        let tables = self.document.get_mut("failure_domain");
+        let tables = tables.and_then(toml_edit::Item::as_array_of_tables_mut);
+        for table in tables.into_iter().flat_map(|tables| tables.iter_mut()) {
+            let name = table.get("name").and_then(toml_edit::Item::as_str);
+            if name == Some(domain.as_str()) {
+                table.insert("in_service", value(in_service));
+            }
+        }
+    }
+
+    /// Marks a leaf as leaving.
+    pub fn set_leaving(&mut self, address: SocketAddr) {
+        for leaf in leaf_tables(&mut self.document) {
+            let listed = leaf.get("address").and_then(toml_edit::Value::as_str);
+            if listed == Some(address.to_string().as_str()) {
+                leaf.insert("leaving", true.into());
+            }
+        }
+    }
+
+    /// Sets the weight of the first tenant, a change without effect on leafs.
+    pub fn set_weight(&mut self, weight: f64) {
+        let tables = self.document.get_mut("tenant");
+        let tables = tables.and_then(toml_edit::Item::as_array_of_tables_mut);
+        if let Some(table) = tables.and_then(|tables| tables.get_mut(0)) {
+            table.insert("weight", value(weight));
+        }
+    }
+}
+
+/// Returns a loopback address.
+pub fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+/// Finds a block of ports of which none is listened on.
+pub fn free_block() -> Result<u16, Error> {
+    let start = u16::try_from(std::process::id() % u32::from(BLOCKS)).unwrap_or_default();
+    let blocks = (0..BLOCKS).map(|turn| FIRST_BLOCK + (start + turn) % BLOCKS * BLOCK_PORTS);
+    let free = |first: &u16| {
+        (*first..first + BLOCK_PORTS).all(|port| TcpListener::bind(loopback(port)).is_ok())
+    };
+    blocks
+        .into_iter()
+        .find(free)
+        .ok_or(Error::NoPorts(BLOCK_PORTS))
+}
+
+fn leaf_tables(document: &mut DocumentMut) -> Vec<&mut toml_edit::InlineTable> {
+    let services = document.get_mut("service");
+    let services = services.and_then(toml_edit::Item::as_array_of_tables_mut);
+    let services = services.into_iter().flat_map(|tables| tables.iter_mut());
+    let versions = services.filter_map(|service| {
+        let versions = service.get_mut("version")?;
+        versions.as_array_of_tables_mut()
+    });
+    let versions = versions.flat_map(|tables| tables.iter_mut());
+    let leafs = versions.filter_map(|version| version.get_mut("leafs")?.as_array_mut());
+    let leafs = leafs.flat_map(|array| array.iter_mut());
+    leafs
+        .filter_map(toml_edit::Value::as_inline_table_mut)
+        .collect()
+}
--- /dev/null
+++ b/bench/src/experiment/cold.rs
@@ -0,0 +1,147 @@
+//! Backend servers turn cold under load: by a crash, without a reset, with their owner paused and
+//! with the key-value service out of reach.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use camphorhold_testutils::backend::Change;
+use camphorhold_testutils::backend::Counters;
+use nix::sys::signal::Signal;
+
+use super::Options;
+use crate::error::Error;
+use crate::report::Table;
+use crate::sample::Summary;
+use crate::tier::Tier;
+
+/// The requests that a cold server bears at once, in both deployments.
+const COLD_CONCURRENCY: u32 = 1;
+
+/// How long the owner of a server is paused; longer than the currency bound of 3 s.
+const PAUSE: Duration = Duration::from_secs(4);
+
+#[derive(Clone, Copy, Debug)]
+enum Case {
+    Crash,
+    TurnedCold,
+    CrashWithOwnerPaused,
+    CrashWithStoreDown,
+}
+
+const CASES: [Case; 4] = [
+    Case::Crash,
+    Case::TurnedCold,
+    Case::CrashWithOwnerPaused,
+    Case::CrashWithStoreDown,
+];
+
+/// Runs the experiment: one period of the given length per case.
+pub async fn run(options: &Options) -> Result<(), Error> {
+    let mut report = options.report("cold");
+    let tier = options.warm_tier(&options.config()).await?;
+    let load = options.search_load(&tier, options.load)?;
+    let replicas: Vec<Vec<SocketAddr>> = load.service.leafs.values().cloned().collect();
+    let before = tier.counters().await?;
+    let count = u32::try_from(CASES.len()).unwrap_or(u32::MAX);
+    let length = (options.duration() + PAUSE) * count;
+    let running = load.start(length);
+    let mut hit = Vec::new();
+    for (case, replicas) in CASES.into_iter().zip(replicas) {
+        let Some(leaf) = replicas.first().copied() else {
+            continue;
+        };
+        carry_out(&tier, case, leaf, options.duration()).await?;
+        hit.push((case, leaf));
+    }
+    let after = tier.counters().await?;
+    let summary = Summary::all(&running.await?);
+    let columns = [
+        "case",
+        "leaf",
+        "largest concurrency while cold",
+        "bound",
+        "violations",
+    ];
+    let mut table = Table::new("Servers that turned cold", &columns);
+    for (case, leaf) in hit {
+        let row = after
+            .iter()
+            .find(|counters| counters.leaf == leaf.to_string());
+        let Some(counters) = row else { continue };
+        table.row(vec![
+            format!("{case:?}"),
+            leaf.to_string(),
+            counters.max_in_flight_cold.to_string(),
+            COLD_CONCURRENCY.to_string(),
+            counters.violations.to_string(),
+        ]);
+    }
+    report.table(table);
+    let violations = |counters: &[Counters]| counters.iter().map(|leaf| leaf.violations).sum();
+    let (start, all): (u64, u64) = (violations(&before), violations(&after));
+    report.target("no violation at the start", start, start == 0);
+    report.target("no violation at any leaf", all, all == 0);
+    println!(
+        "{} of {} requests answered, coverage {:.4}, p99 {:.1} ms",
+        summary.answered,
+        summary.offered,
+        summary.coverage,
+        summary.quantile_ms(0.99)
+    );
+    report.target(
+        "no wrong answer",
+        summary.violations,
+        summary.violations == 0,
+    );
+    report.finish(options.json.as_deref())
+}
+
+async fn carry_out(
+    tier: &Tier,
+    case: Case,
+    leaf: SocketAddr,
+    period: Duration,
+) -> Result<(), Error> {
+    let crash = Change {
+        leaf: Some(leaf),
+        crash: true,
+        ..Change::default()
+    };
+    match case {
+        Case::Crash => tier.change(&crash).await?,
+        Case::TurnedCold => {
+            let change = Change {
+                leaf: Some(leaf),
+                turn_cold: true,
+                ..Change::default()
+            };
+            tier.change(&change).await?;
+        }
+        Case::CrashWithOwnerPaused => pause_owner(tier, leaf, &crash).await?,
+        Case::CrashWithStoreDown => {
+            tier.set_store_outage(true).await?;
+            // Longer than the currency bound, so that only witnesses vouch for the record.
+            tokio::time::sleep(PAUSE).await;
+            tier.change(&crash).await?;
+        }
+    }
+    tokio::time::sleep(period).await;
+    if matches!(case, Case::CrashWithStoreDown) {
+        tier.set_store_outage(false).await?;
+    }
+    Ok(())
+}
+
+/// Crashes a server while its owner is stopped, and lets the owner go on while the server is cold.
+async fn pause_owner(tier: &Tier, leaf: SocketAddr, crash: &Change) -> Result<(), Error> {
+    let Some(owner) = tier.owner(leaf).await? else {
+        return Ok(());
+    };
+    let process = &tier.instances[owner].process;
+    process.signal(Signal::SIGSTOP)?;
+    tokio::time::sleep(PAUSE / 2).await;
+    let crashed = tier.change(crash).await;
+    tokio::time::sleep(PAUSE / 2).await;
+    process.signal(Signal::SIGCONT)?;
+    crashed
+}
--- /dev/null
+++ b/bench/src/experiment/once.rs
@@ -0,0 +1,174 @@
+//! Non-idempotent requests, sent again by their callers while instances are killed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use camphorhold::protocol::caller::IdempotencyBody;
+use camphorhold::protocol::caller::RequestBody;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::Options;
+use super::unix_ms;
+use crate::caller;
+use crate::deployment::Service;
+use crate::error::Error;
+use crate::load::exponential;
+use crate::load::millis;
+use crate::report::Table;
+use crate::sample::Outcome;
+use crate::tier::Tier;
+
+/// Requests per second, each with a key of its own.
+const RATE: f64 = 100.0;
+
+/// The most attempts of a caller.
+const ATTEMPTS: usize = 6;
+
+/// The pause of a caller between two attempts.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Callers also send a request again that was answered, one in this many.
+const DOUBLED: u64 = 5;
+
+/// The time from a start to the next kill, and from a kill to the next start.
+const UP_TIME: Duration = Duration::from_secs(3);
+const DOWN_TIME: Duration = Duration::from_secs(1);
+
+/// What one caller saw of one key.
+struct Seen {
+    key: String,
+    outcomes: Vec<Outcome>,
+}
+
+/// Runs the experiment.
+pub async fn run(options: &Options) -> Result<(), Error> {
+    let mut report = options.report("once");
+    let mut tier = Tier::start(&options.config()).await?;
+    let balancer = tier.start_balancer()?;
+    let service = tier.file.service(options.deployment.once_service())?;
+    let callers = tokio::spawn(offer(service.clone(), balancer, options.clone()));
+    let ends = Instant::now() + options.duration();
+    let mut kills = 0;
+    while Instant::now() + UP_TIME + DOWN_TIME < ends {
+        tokio::time::sleep(UP_TIME).await;
+        let index = kills % tier.instances.len();
+        tier.instances[index].process.kill();
+        tokio::time::sleep(DOWN_TIME).await;
+        tier.instances[index].restart()?;
+        kills += 1;
+    }
+    let seen = callers.await?;
+    // A request that lost its caller ends at its deadline at the latest.
+    tokio::time::sleep(service.deadline).await;
+    let mut executions: BTreeMap<String, u64> = BTreeMap::new();
+    for leaf in tier.counters().await? {
+        for (key, count) in leaf.executions {
+            *executions.entry(key).or_default() += count;
+        }
+    }
+    let mut table = Table::new(
+        format!("{} keys, {kills} kills", seen.len()),
+        &[
+            "last outcome",
+            "keys",
+            "executed 0 times",
+            "once",
+            "more than once",
+        ],
+    );
+    let mut last: BTreeMap<Outcome, [u64; 3]> = BTreeMap::new();
+    let (mut doubled, mut untrue, mut unexecuted) = (0, 0, 0);
+    for seen in &seen {
+        let count = executions.get(&seen.key).copied().unwrap_or_default();
+        let not_run = |outcome: &Outcome| matches!(outcome, Outcome::NotRun | Outcome::Refused);
+        doubled += u64::from(count > 1);
+        untrue += u64::from(count > 0 && seen.outcomes.iter().all(not_run));
+        unexecuted += u64::from(count == 0 && seen.outcomes.contains(&Outcome::Answered));
+        let Some(end) = seen.outcomes.last() else {
+            continue;
+        };
+        let index = usize::try_from(count.min(2)).unwrap_or_default();
+        last.entry(*end).or_default()[index] += 1;
+    }
+    for (outcome, counts) in last {
+        let total: u64 = counts.iter().sum();
+        let mut row = vec![format!("{outcome:?}"), total.to_string()];
+        row.extend(counts.iter().map(ToString::to_string));
+        table.row(row);
+    }
+    report.table(table);
+    let resent = seen.iter().filter(|seen| seen.outcomes.len() > 1).count();
+    println!("{resent} keys were sent more than once");
+    report.target("no key executed more than once", doubled, doubled == 0);
+    report.target("no untrue \"not run\"", untrue, untrue == 0);
+    report.target(
+        "no answered key without execution",
+        unexecuted,
+        unexecuted == 0,
+    );
+    report.finish(options.json.as_deref())
+}
+
+async fn offer(service: Service, balancer: SocketAddr, options: Options) -> Vec<Seen> {
+    let service = Arc::new(service);
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let started = Instant::now();
+    let mut at = Duration::ZERO;
+    let mut tasks = Vec::new();
+    for number in 0.. {
+        at += exponential(&mut random, RATE);
+        if at >= options.duration() {
+            break;
+        }
+        let shard = random.random_range(0..service.shards);
+        tokio::time::sleep_until((started + at).into()).await;
+        let request = request(&service, shard, number, options.seed);
+        tasks.push(tokio::spawn(send(balancer, request, number)));
+    }
+    let seen = futures::future::join_all(tasks).await;
+    seen.into_iter().flatten().collect()
+}
+
+fn request(service: &Service, shard: u32, number: u64, seed: u64) -> RequestBody {
+    RequestBody {
+        request_id: None,
+        tenant: service.tenants[0].clone(),
+        service: service.name.clone(),
+        route: "enter".to_owned(),
+        scope: Some(vec![shard]),
+        query: format!("entry {}", number % 40),
+        deadline_ms: Some(millis(service.deadline)),
+        worth: None,
+        idempotency: Some(IdempotencyBody {
+            key: format!("key-{seed}-{number}"),
+            issued_at_ms: unix_ms(),
+        }),
+    }
+}
+
+/// Sends a request until it is answered.
+async fn send(balancer: SocketAddr, request: RequestBody, number: u64) -> Seen {
+    let mut outcomes = Vec::new();
+    while outcomes.len() < ATTEMPTS {
+        let reply = caller::send_once(balancer, &request).await;
+        outcomes.push(reply.outcome);
+        if reply.outcome == Outcome::Answered {
+            if number.is_multiple_of(DOUBLED) && outcomes.len() < ATTEMPTS {
+                let again = caller::send_once(balancer, &request).await;
+                outcomes.push(again.outcome);
+            }
+            break;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    let key = request.idempotency.map(|idempotency| idempotency.key);
+    Seen {
+        key: key.unwrap_or_default(),
+        outcomes,
+    }
+}
--- /dev/null
+++ b/bench/src/experiment/peer_path.rs
@@ -0,0 +1,247 @@
+//! Leaf calls between instances: JSON-RPC over HTTP against postcard over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::BytesMut;
+use camphorhold::protocol::leaf;
+use camphorhold::protocol::leaf::Hit;
+use camphorhold::protocol::leaf::SearchAnswer;
+use camphorhold::protocol::peer::CALLS_PATH;
+use camphorhold::protocol::peer::Call;
+use camphorhold::protocol::peer::Calls;
+use camphorhold::protocol::peer::Part;
+use camphorhold::protocol::peer::Query;
+use camphorhold::protocol::peer::append_frame;
+use camphorhold::protocol::peer::decode;
+use camphorhold::state::id::InstanceId;
+use camphorhold::state::id::LeafId;
+use camphorhold::state::id::PartitionId;
+use camphorhold::state::id::RequestId;
+use camphorhold::state::id::ShardId;
+use camphorhold::state::id::SnapshotId;
+use camphorhold::transport::peer::Forwarder;
+use camphorhold_testutils::backend::expected_hits;
+use http_body_util::BodyExt;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::ServerBuilder;
+use volo::net::incoming::DefaultIncoming;
+use volo_http::body::Body;
+use volo_http::http::StatusCode;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::Router;
+use volo_http::server::Server;
+use volo_http::server::route::post;
+
+use super::Options;
+use crate::deployment::loopback;
+use crate::error::Error;
+use crate::report::Table;
+use crate::sample::histogram;
+use crate::sample::quantile_ms;
+use crate::sample::record;
+
+/// Leaf calls in one message.
+const CALLS: u32 = 20;
+
+/// Messages in flight at the same time.
+const CONCURRENCIES: [usize; 2] = [1, 32];
+
+/// The same exchange as JSON-RPC.
+#[rpc(client, server)]
+pub trait Peer {
+    /// Asks for several leafs.
+    #[method(name = "peer_calls")]
+    async fn calls(&self, message: Calls) -> RpcResult<Vec<Part>>;
+}
+
+struct Answering;
+
+#[jsonrpsee::core::async_trait]
+impl PeerServer for Answering {
+    async fn calls(&self, message: Calls) -> RpcResult<Vec<Part>> {
+        Ok(message.calls.iter().map(part).collect())
+    }
+}
+
+/// A client of either kind.
+#[derive(Clone)]
+enum Client {
+    JsonRpc(HttpClient),
+    Postcard(Box<Forwarder>, SocketAddr),
+}
+
+/// Runs the measurement.
+pub async fn run(options: &Options) -> Result<(), Error> {
+    let mut report = options.report("peer-path");
+    let json = ServerBuilder::default().build(loopback(0)).await?;
+    let json_address = json.local_addr()?;
+    let handle = json.start(Answering.into_rpc());
+    let postcard_address = serve_postcard().await?;
+    let url = format!("http://{json_address}");
+    let json = Client::JsonRpc(HttpClientBuilder::default().build(url)?);
+    let postcard = Client::Postcard(Box::default(), postcard_address);
+    let columns = [
+        "transport",
+        "in flight",
+        "messages/s",
+        "leaf calls/s",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+    ];
+    let mut table = Table::new(format!("{CALLS} leaf calls and their answers"), &columns);
+    for concurrency in CONCURRENCIES {
+        for (name, client) in [("JSON-RPC", &json), ("postcard", &postcard)] {
+            let row = measure(name, client, concurrency, options.duration()).await?;
+            table.row(row);
+        }
+    }
+    report.table(table);
+    let _ = handle.stop();
+    report.finish(options.json.as_deref())
+}
+
+async fn measure(
+    name: &str,
+    client: &Client,
+    concurrency: usize,
+    duration: Duration,
+) -> Result<Vec<String>, Error> {
+    let started = Instant::now();
+    let workers = (0..concurrency).map(|_| {
+        let client = client.clone();
+        tokio::spawn(async move {
+            let mut latencies = histogram();
+            while started.elapsed() < duration {
+                let sent = Instant::now();
+                client.exchange().await?;
+                record(&mut latencies, sent.elapsed());
+            }
+            Ok::<_, Error>(latencies)
+        })
+    });
+    let mut latencies = histogram();
+    for worker in futures::future::join_all(workers).await {
+        let own = worker??;
+        let added = latencies.add(&own);
+        added.map_err(|error| Error::PeerPath(error.to_string()))?;
+    }
+    #[expect(clippy::cast_precision_loss, reason = "counts of a short run")]
+    let rate = latencies.len() as f64 / started.elapsed().as_secs_f64();
+    Ok(vec![
+        name.to_owned(),
+        concurrency.to_string(),
+        format!("{rate:.0}"),
+        format!("{:.0}", rate * f64::from(CALLS)),
+        format!("{:.3}", quantile_ms(&latencies, 0.5)),
+        format!("{:.3}", quantile_ms(&latencies, 0.99)),
+        format!("{:.3}", quantile_ms(&latencies, 0.999)),
+    ])
+}
+
+impl Client {
+    async fn exchange(&self) -> Result<(), Error> {
+        let message = message()?;
+        let received = match self {
+            Self::JsonRpc(client) => client.calls(message).await?.len(),
+            Self::Postcard(forwarder, address) => {
+                let failed = |error| Error::PeerPath(format!("{error}"));
+                let parts = forwarder.forward(*address, &message).await;
+                let mut parts = parts.map_err(failed)?;
+                let mut count = 0;
+                while parts.next().await.map_err(failed)?.is_some() {
+                    count += 1;
+                }
+                count
+            }
+        };
+        if received == CALLS as usize {
+            Ok(())
+        } else {
+            Err(Error::PeerPath(format!("{received} answers")))
+        }
+    }
+}
+
+async fn serve_postcard() -> Result<SocketAddr, Error> {
+    let listener = tokio::net::TcpListener::bind(loopback(0)).await?;
+    let address = listener.local_addr()?;
+    let router = Router::new().route(CALLS_PATH, post(answer));
+    tokio::spawn(Server::new(router).run(DefaultIncoming::from(listener)));
+    Ok(address)
+}
+
+async fn answer(request: Request) -> Response {
+    let body = request.into_body().collect().await;
+    let frames = body.ok().and_then(|body| {
+        let message: Calls = decode(&body.to_bytes()).ok()?;
+        let mut buffer = BytesMut::new();
+        for call in &message.calls {
+            append_frame(&part(call), &mut buffer).ok()?;
+        }
+        Some(buffer.freeze())
+    });
+    let mut response = Response::new(Body::empty());
+    if let Some(frames) = frames {
+        *response.body_mut() = Body::from(frames);
+    } else {
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+    }
+    response
+}
+
+fn message() -> Result<Calls, Error> {
+    let name = |error: camphorhold::state::id::InvalidName| Error::PeerPath(error.to_string());
+    Ok(Calls {
+        batch: 1,
+        from: InstanceId(1),
+        query: Query {
+            request_id: RequestId(1),
+            service: "round-app".parse().map_err(name)?,
+            version: "v1".parse().map_err(name)?,
+            route: "search".parse().map_err(name)?,
+            snapshot: SnapshotId(1),
+            partition: PartitionId(0),
+            query: "query 1".into(),
+            deadline_unix_ms: 1_900_000_000_000,
+            idempotency_key: None,
+        },
+        calls: (0..CALLS)
+            .map(|number| Call {
+                id: number.into(),
+                leaf: LeafId(loopback(21_000)),
+                shard: ShardId(number),
+            })
+            .collect(),
+    })
+}
+
+fn part(call: &Call) -> Part {
+    let hits = expected_hits("round-app", call.shard.0, 1, "query 1");
+    let hits = hits.into_iter().map(|hit| Hit {
+        document: hit.document.into(),
+        score: hit.score,
+    });
+    Part {
+        id: call.id,
+        queued_us: 0,
+        result: Ok(SearchAnswer {
+            correlation: call.id.to_string().into(),
+            incarnation: 1,
+            shard: call.shard,
+            snapshot: SnapshotId(1),
+            partition: PartitionId(0),
+            status: leaf::Status::Ok,
+            temperature: leaf::Temperature::Warm,
+            complete: true,
+            hits: hits.collect(),
+            holds: vec![SnapshotId(1)],
+        }),
+    }
+}
--- /dev/null
+++ b/bench/src/report.rs
@@ -0,0 +1,129 @@
+//! Tables on standard output and JSON in a file.
+
+use std::fmt::Display;
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::error::Error;
+
+/// One table of an experiment.
+#[derive(Debug, Serialize)]
+pub struct Table {
+    title: String,
+    columns: Vec<&'static str>,
+    rows: Vec<Vec<String>>,
+}
+
+/// The result of an experiment.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    experiment: String,
+    settings: String,
+    load_average: String,
+    tables: Vec<Table>,
+    targets: Vec<Target>,
+}
+
+/// A target with its figure.
+#[derive(Debug, Serialize)]
+struct Target {
+    stated: String,
+    measured: String,
+    met: bool,
+}
+
+impl Table {
+    /// Returns a table without rows.
+    pub fn new(title: impl Into<String>, columns: &[&'static str]) -> Self {
+        Self {
+            title: title.into(),
+            columns: columns.to_vec(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Appends a row.
+    pub fn row(&mut self, cells: Vec<String>) {
+        self.rows.push(cells);
+    }
+
+    /// Prints the table in Markdown.
+    pub fn print(&self) {
+        let widths: Vec<usize> = (0..self.columns.len())
+            .map(|column| {
+                let cells = self.rows.iter().filter_map(|row| row.get(column));
+                let widest = cells.map(|cell| cell.chars().count()).max();
+                let head = self.columns[column].chars().count();
+                widest.unwrap_or_default().max(head)
+            })
+            .collect();
+        let line = |cells: &[String]| {
+            let cells = cells.iter().zip(&widths);
+            let cells: Vec<String> = cells
+                .map(|(cell, width)| format!("{cell:<width$}"))
+                .collect();
+            println!("| {} |", cells.join(" | "));
+        };
+        println!("\n{}\n", self.title);
+        let head: Vec<String> = self.columns.iter().map(ToString::to_string).collect();
+        line(&head);
+        let rule: Vec<String> = widths.iter().map(|width| "-".repeat(*width)).collect();
+        line(&rule);
+        for row in &self.rows {
+            line(row);
+        }
+    }
+}
+
+impl Report {
+    /// Returns a report without results.
+    pub fn new(experiment: &str, settings: String) -> Self {
+        println!("{experiment}: {settings}");
+        Self {
+            experiment: experiment.to_owned(),
+            settings,
+            load_average: load_average(),
+            tables: Vec::new(),
+            targets: Vec::new(),
+        }
+    }
+
+    /// Prints a table and keeps it.
+    pub fn table(&mut self, table: Table) {
+        table.print();
+        self.tables.push(table);
+    }
+
+    /// Prints a target with its figure and keeps it.
+    pub fn target(&mut self, target: impl Display, measured: impl Display, met: bool) {
+        let verdict = if met { "met" } else { "MISSED" };
+        println!("target {target}: {measured}: {verdict}");
+        self.targets.push(Target {
+            stated: target.to_string(),
+            measured: measured.to_string(),
+            met,
+        });
+    }
+
+    /// Ends the report and writes it to a file, if one is given.
+    pub fn finish(mut self, path: Option<&Path>) -> Result<(), Error> {
+        let end = load_average();
+        println!(
+            "load average at the start {}, at the end {end}",
+            self.load_average
+        );
+        self.load_average = format!("{} to {end}", self.load_average);
+        if let Some(path) = path {
+            std::fs::write(path, serde_json::to_vec_pretty(&self)?)?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns the load average of the last minute.
+fn load_average() -> String {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let first = text.split_whitespace().next().unwrap_or("unknown");
+    first.to_owned()
+}
--- /dev/null
+++ b/bench/src/tier.rs
@@ -0,0 +1,417 @@
+//! A whole tier on loopback: the stand-ins and the instances.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use camphorhold::protocol::control::ApplyAnswer;
+use camphorhold::protocol::control::ApplyRequest;
+use camphorhold::protocol::control::ControlClient;
+use camphorhold::protocol::control::InstanceStatus;
+use camphorhold::protocol::control::Refusal;
+use camphorhold::protocol::control::Temperature;
+use camphorhold::state::id::Generation;
+use camphorhold::state::id::OperationId;
+use camphorhold_testutils::backend::Change;
+use camphorhold_testutils::backend::Counters;
+use camphorhold_testutils::client;
+use camphorhold_testutils::store;
+use http_body_util::BodyExt;
+use hyper::Method;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::deployment;
+use crate::deployment::Deployment;
+use crate::deployment::File;
+use crate::deployment::LEAF_PORTS;
+use crate::deployment::loopback;
+use crate::error::Error;
+use crate::process::Process;
+
+/// Listeners of one instance.
+const PORTS_PER_INSTANCE: u16 = 4;
+
+/// The distance from the port for callers to the port for probes.
+const ADMIN_OFFSET: u16 = 3;
+
+/// Time for a start, a change or a warm-up. Generous, because other work shares the machine.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// How often conditions are looked at.
+const POLL: Duration = Duration::from_millis(20);
+
+/// The longest shutdown of an instance, by the design.
+pub const SHUTDOWN_BOUND: Duration = Duration::from_secs(30);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// The number of instances.
+    pub instances: u16,
+    /// The shortest time to serve one leaf call.
+    pub service_time: Duration,
+    /// The largest addition to it.
+    pub jitter: Duration,
+    /// The share of leaf calls that take 20 times as long.
+    pub stragglers: f64,
+    /// The value of the instances' `--baseline`, if any.
+    pub baseline: Option<&'static str>,
+    /// The seed of the stand-ins.
+    pub seed: u64,
+}
+
+/// One instance.
+pub struct Instance {
+    /// The running process.
+    pub process: Process,
+    /// Where callers send requests.
+    pub callers: SocketAddr,
+    /// Where control messages go.
+    pub control: SocketAddr,
+    /// Where probes go.
+    pub admin: SocketAddr,
+    arguments: Vec<String>,
+    log: PathBuf,
+}
+
+/// A running tier. Dropping it ends all its processes.
+pub struct Tier {
+    /// The instances.
+    pub instances: Vec<Instance>,
+    /// The file last applied.
+    pub file: File,
+    /// The admin port of the backend servers.
+    pub backend: SocketAddr,
+    /// The key-value service.
+    pub store: SocketAddr,
+    /// The list of instances.
+    pub list: SocketAddr,
+    standins: Vec<Process>,
+    /// Where the processes write their logs.
+    directory: PathBuf,
+}
+
+impl Instance {
+    fn start(arguments: Vec<String>, first: u16, log: PathBuf) -> Result<Self, Error> {
+        let process = Process::spawn("camphorholdd", &arguments, &log)?;
+        Ok(Self {
+            process,
+            callers: loopback(first),
+            control: loopback(first + 2),
+            admin: loopback(first + ADMIN_OFFSET),
+            arguments,
+            log,
+        })
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn restart(&mut self) -> Result<(), Error> {
+        self.process = Process::spawn("camphorholdd", &self.arguments, &self.log)?;
+        Ok(())
+    }
+
+    /// Tells whether the instance answers that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        matches!(client::status(self.admin, "/readyz").await, Ok(200))
+    }
+
+    /// Waits until the instance is ready.
+    pub async fn ready(&self) -> Result<(), Error> {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            if self.is_ready().await {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        let what = "the readiness of an instance";
+        Err(Error::TimedOut {
+            what,
+            limit: PATIENCE,
+        })
+    }
+
+    /// Returns a client for control messages.
+    pub fn client(&self) -> Result<HttpClient, Error> {
+        let url = format!("http://{}", self.control);
+        Ok(HttpClientBuilder::default().build(url)?)
+    }
+
+    /// Asks for the state of the instance.
+    pub async fn status(&self) -> Result<InstanceStatus, Error> {
+        Ok(self.client()?.status().await?)
+    }
+
+    /// Reads a counter, summed over its labels.
+    pub async fn metric(&self, name: &str) -> Result<f64, Error> {
+        let mut connection = client::Connection::open(self.admin).await?;
+        let response = connection.send(Method::GET, "/metrics", Bytes::new());
+        let body = response.await?.into_body().collect().await;
+        let body = body.map_err(client::Error::Unanswered)?.to_bytes();
+        let text = String::from_utf8_lossy(&body);
+        let values = text.lines().filter_map(|line| {
+            let rest = line.strip_prefix(name)?;
+            let own = rest.starts_with([' ', '{']);
+            own.then(|| rest.rsplit(' ').next()?.parse::<f64>().ok())?
+        });
+        Ok(values.sum())
+    }
+}
+
+impl Tier {
+    /// Starts everything, applies the deployment's file and waits until all instances are ready.
+    pub async fn start(config: &Config) -> Result<Self, Error> {
+        let first = deployment::free_block()?;
+        let directory = run_directory(first)?;
+        let file = config.deployment.file(first)?;
+        let file_path = directory.join("file.toml");
+        std::fs::write(&file_path, file.text())?;
+        let log = directory.join("standins.log");
+        let any = || vec!["--listen".to_owned(), "127.0.0.1:0".to_owned()];
+        let (store, ready) = Process::spawn_ready("standin-store", &any(), &log)?;
+        let store_address = address(&ready)?;
+        let arguments = backend_arguments(config, &file_path.to_string_lossy());
+        let (backend, ready) = Process::spawn_ready("standin-backend", &arguments, &log)?;
+        let backend_address = address(&ready)?;
+        let (list, ready) = Process::spawn_ready("standin-instances", &any(), &log)?;
+        let list_address = address(&ready)?;
+        let domains = file.domains()?;
+        let mut instances = Vec::new();
+        for index in 0..config.instances {
+            let port = first + LEAF_PORTS + index * PORTS_PER_INSTANCE;
+            let domain = &domains[usize::from(index) % domains.len()];
+            let mut arguments = instance_arguments(port, domain.as_str());
+            let more = [
+                ("--store", store_address),
+                ("--instance-list", list_address),
+            ];
+            for (flag, address) in more {
+                arguments.extend([flag.to_owned(), address.to_string()]);
+            }
+            if let Some(baseline) = config.baseline {
+                arguments.extend(["--baseline".to_owned(), baseline.to_owned()]);
+            }
+            let log = directory.join(format!("instance-{index}.log"));
+            instances.push(Instance::start(arguments, port, log)?);
+        }
+        let mut tier = Self {
+            instances,
+            file: file.clone(),
+            backend: backend_address,
+            store: store_address,
+            list: list_address,
+            standins: vec![store, backend, list],
+            directory,
+        };
+        tier.list_leaving(&[]).await?;
+        tier.apply(file).await?;
+        for instance in &tier.instances {
+            instance.ready().await?;
+        }
+        Ok(tier)
+    }
+
+    /// Applies a file through the first instance; returns its generation and when the acceptance
+    /// was known.
+    pub async fn apply(&mut self, file: File) -> Result<(Generation, Instant), Error> {
+        let started = Instant::now();
+        let request = ApplyRequest {
+            operation: OperationId(rand::random()),
+            text: file.text().into(),
+            expected_revision: None,
+        };
+        loop {
+            let client = self.instances[0].client()?;
+            let answer = client.apply(request.clone()).await;
+            let early = started.elapsed() < PATIENCE;
+            match answer {
+                Ok(ApplyAnswer::Accepted { generation, .. }) => {
+                    self.file = file;
+                    return Ok((generation, Instant::now()));
+                }
+                Ok(ApplyAnswer::NotAccepted {
+                    reason: Refusal::Starting | Refusal::NoMajority | Refusal::Contended,
+                })
+                | Err(_)
+                    if early =>
+                {
+                    tokio::time::sleep(POLL).await;
+                }
+                Ok(answer) => return Err(Error::NotAccepted(answer)),
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
+    /// Waits until a generation is in force at every instance; returns when it was.
+    pub async fn in_force(&self, generation: Generation) -> Result<Instant, Error> {
+        let started = Instant::now();
+        let waits = self.instances.iter().map(|instance| async move {
+            while started.elapsed() < PATIENCE {
+                let status = instance.status().await;
+                if status.is_ok_and(|status| status.generation >= generation) {
+                    return Ok(Instant::now());
+                }
+                tokio::time::sleep(POLL).await;
+            }
+            let what = "a change in force everywhere";
+            Err(Error::TimedOut {
+                what,
+                limit: PATIENCE,
+            })
+        });
+        let times = futures::future::try_join_all(waits).await?;
+        Ok(times.into_iter().max().unwrap_or(started))
+    }
+
+    /// Counts the leafs of a service that their owners take to be warm.
+    pub async fn warm_leafs(&self, service: &str) -> Result<usize, Error> {
+        let mut warm = 0;
+        for instance in &self.instances {
+            let status = instance.status().await?;
+            let services = status.services.iter();
+            let leafs = services
+                .filter(|listed| listed.service.as_str() == service)
+                .flat_map(|listed| &listed.leafs);
+            warm += leafs
+                .filter(|leaf| leaf.temperature == Temperature::Warm)
+                .count();
+        }
+        Ok(warm)
+    }
+
+    /// Finds the instance that owns a leaf.
+    pub async fn owner(&self, leaf: SocketAddr) -> Result<Option<usize>, Error> {
+        for (index, instance) in self.instances.iter().enumerate() {
+            let status = instance.status().await?;
+            let mut leafs = status.services.iter().flat_map(|service| &service.leafs);
+            if leafs.any(|listed| listed.leaf.0 == leaf) {
+                return Ok(Some(index));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns the counters of all leafs.
+    pub async fn counters(&self) -> Result<Vec<Counters>, Error> {
+        let (_, counters) = client::get(self.backend, "/counters").await?;
+        Ok(serde_json::from_value(counters)?)
+    }
+
+    /// Changes some leafs.
+    pub async fn change(&self, change: &Change) -> Result<(), Error> {
+        client::post(self.backend, "/fault", &serde_json::to_value(change)?).await?;
+        Ok(())
+    }
+
+    /// Returns the counters of the key-value service.
+    pub async fn store_counters(&self) -> Result<store::Counters, Error> {
+        let (_, counters) = client::get(self.store, "/counters").await?;
+        Ok(serde_json::from_value(counters)?)
+    }
+
+    /// Takes the key-value service out of reach, or back.
+    pub async fn set_store_outage(&self, outage: bool) -> Result<(), Error> {
+        let outage = if outage { "refuse" } else { "off" };
+        client::post(self.store, "/fault", &json!({"outage": outage})).await?;
+        Ok(())
+    }
+
+    /// Lists all instances as live and some backend servers as leaving.
+    pub async fn list_leaving(&self, leaving: &[SocketAddr]) -> Result<(), Error> {
+        let live = self.instances.iter().map(|instance| instance.control);
+        let live = live.map(|address| json!({"address": address, "state": "live"}));
+        let leaving = leaving.iter();
+        let leaving = leaving.map(|address| json!({"address": address, "state": "leaving"}));
+        let entries: Vec<Value> = live.chain(leaving).collect();
+        client::post(self.list, "/set", &Value::Array(entries)).await?;
+        Ok(())
+    }
+
+    /// Starts the balancer in front of all instances; returns its address.
+    pub fn start_balancer(&mut self) -> Result<SocketAddr, Error> {
+        let mut arguments = vec!["--probe-offset".to_owned(), ADMIN_OFFSET.to_string()];
+        for instance in &self.instances {
+            arguments.extend(["--instance".to_owned(), instance.callers.to_string()]);
+        }
+        let log = self.directory.join("standins.log");
+        let (balancer, ready) = Process::spawn_ready("standin-balancer", &arguments, &log)?;
+        self.standins.push(balancer);
+        address(&ready)
+    }
+
+    /// Returns where callers send requests.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let instances = self.instances.iter();
+        instances.map(|instance| instance.callers).collect()
+    }
+
+    /// Ends all instances by SIGTERM and waits for them.
+    pub async fn terminate_instances(&mut self) -> Result<(), Error> {
+        for instance in &self.instances {
+            instance.process.signal(Signal::SIGTERM)?;
+        }
+        for instance in &mut self.instances {
+            instance.process.exited(SHUTDOWN_BOUND).await?;
+        }
+        Ok(())
+    }
+}
+
+fn backend_arguments(config: &Config, file: &str) -> Vec<String> {
+    let time = |time: Duration| {
+        humantime::format_duration(time)
+            .to_string()
+            .replace(' ', "")
+    };
+    let arguments = [
+        ("--file", file.to_owned()),
+        ("--service-time", time(config.service_time)),
+        ("--jitter", time(config.jitter)),
+        ("--straggler-probability", config.stragglers.to_string()),
+        ("--seed", config.seed.to_string()),
+    ];
+    let arguments = arguments.into_iter();
+    arguments
+        .flat_map(|(flag, value)| [flag.to_owned(), value])
+        .collect()
+}
+
+fn instance_arguments(first: u16, domain: &str) -> Vec<String> {
+    let flags = [
+        "--caller-address",
+        "--peer-address",
+        "--control-address",
+        "--admin-address",
+    ];
+    let addresses = (first..).map(|port| loopback(port).to_string());
+    let listeners = flags.into_iter().zip(addresses);
+    let rest = [
+        ("--failure-domain", domain.to_owned()),
+        ("--log", "warn".to_owned()),
+    ];
+    let all = listeners.chain(rest);
+    all.flat_map(|(flag, value)| [flag.to_owned(), value])
+        .collect()
+}
+
+fn run_directory(first: u16) -> Result<PathBuf, Error> {
+    let directory = std::env::current_exe()?.with_file_name("bench-runs");
+    let directory = directory.join(format!("{}-{first}", std::process::id()));
+    std::fs::create_dir_all(&directory)?;
+    Ok(directory)
+}
+
+fn address(ready: &Value) -> Result<SocketAddr, Error> {
+    let text = ready["address"].as_str().unwrap_or_default();
+    let parsed = text.parse();
+    parsed.map_err(|_| Error::NotReady(format!("a stand-in ({ready})")))
+}
