--- a/bench/src/experiment/cold.rs
+++ b/bench/src/experiment/cold.rs
@@ -54,7 +54,8 @@
         hit.push((case, leaf));
     }
     let after = tier.counters().await?;
-    let summary = Summary::all(&running.await?);
+    let samples = running.await?;
+    let summary = Summary::all(&samples);
     let columns = [
         "case",
         "leaf",
@@ -88,6 +89,7 @@
         summary.coverage,
         summary.quantile_ms(0.99)
     );
+    report.failures(&samples);
     report.target(
         "no wrong answer",
         summary.violations,
--- a/bench/src/experiment/domain.rs
+++ b/bench/src/experiment/domain.rs
@@ -70,6 +70,7 @@
         format!("{} ms (to 100 ms)", milliseconds(taken)),
         taken <= MAX_TIME_OUT,
     );
+    report.failures(&samples);
     let all = Summary::all(&samples);
     let failed = all.offered - all.answered;
     println!("{failed} of {} requests were not answered", all.offered);
--- a/bench/src/experiment/drain.rs
+++ b/bench/src/experiment/drain.rs
@@ -59,7 +59,8 @@
             taken <= MAX_TIME_OUT,
         );
     }
-    let summary = Summary::all(&running.await?);
+    let samples = running.await?;
+    let summary = Summary::all(&samples);
     report.table(table);
     println!(
         "{} of {} requests answered, coverage {:.4}, p99 {:.1} ms",
@@ -68,6 +69,7 @@
         summary.coverage,
         summary.quantile_ms(0.99)
     );
+    report.failures(&samples);
     report.target(
         "no wrong answer",
         summary.violations,
--- a/bench/src/experiment/mod.rs
+++ b/bench/src/experiment/mod.rs
@@ -65,6 +65,9 @@
     /// The offered load, as a share of the slots of the service's leafs.
     #[arg(long, default_value_t = 0.5)]
     pub load: f64,
+    /// Leaves out the baselines, in experiments that have them.
+    #[arg(long)]
+    pub without_baselines: bool,
     /// A file for the results, in JSON.
     #[arg(long)]
     pub json: Option<PathBuf>,
--- a/bench/src/experiment/replica_lost.rs
+++ b/bench/src/experiment/replica_lost.rs
@@ -77,6 +77,7 @@
         report.target(target, percent(extra), extra <= bound);
     }
     report.table(table);
+    report.failures(&samples);
     let all = Summary::of(&samples, Duration::ZERO, Duration::MAX);
     report.target("no wrong answer", all.violations, all.violations == 0);
     report.finish(options.json.as_deref())
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -146,6 +146,7 @@
             latency,
             outcome: reply.outcome,
             answered: body.map_or(0, |body| body.coverage.answered),
+            reason: body.and_then(|body| body.reason.clone()),
             in_scope: self.service.shards,
             in_time: latency <= self.service.deadline,
             worth: self.service.worth,
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -6,6 +6,11 @@
 use serde::Serialize;
 
 use crate::error::Error;
+use crate::sample::Sample;
+use crate::sample::reasons;
+
+/// Wrong answers printed in full.
+const MAX_VIOLATIONS: usize = 10;
 
 /// One table of an experiment.
 #[derive(Debug, Serialize)]
@@ -106,6 +111,28 @@
         });
     }
 
+    /// Prints why requests were not answered, and what was wrong with answers.
+    pub fn failures(&mut self, samples: &[Sample]) {
+        let mut table = Table::new(
+            "Requests that were not answered",
+            &["outcome", "reason", "requests"],
+        );
+        for ((outcome, reason), count) in reasons(samples) {
+            table.row(vec![
+                format!("{outcome:?}"),
+                reason.to_owned(),
+                count.to_string(),
+            ]);
+        }
+        self.table(table);
+        let wrong = samples
+            .iter()
+            .filter_map(|sample| sample.violation.as_ref());
+        for violation in wrong.take(MAX_VIOLATIONS) {
+            println!("wrong answer: {violation}");
+        }
+    }
+
     /// Ends the report and writes it to a file, if one is given.
     pub fn finish(mut self, path: Option<&Path>) -> Result<(), Error> {
         let end = load_average();
--- a/bench/src/sample.rs
+++ b/bench/src/sample.rs
@@ -1,5 +1,6 @@
 //! What became of the requests of a run, and what follows from them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -36,6 +37,8 @@
     pub latency: Duration,
     /// What became of it.
     pub outcome: Outcome,
+    /// Why the request was not answered, as the instance states.
+    pub reason: Option<Box<str>>,
     /// Shards covered, as the answer states.
     pub answered: u32,
     /// Shards in scope.
@@ -133,6 +136,17 @@
     }
 }
 
+/// Counts the requests that were not answered, by outcome and reason.
+pub fn reasons(samples: &[Sample]) -> BTreeMap<(Outcome, &str), usize> {
+    let mut reasons = BTreeMap::new();
+    let failed = samples.iter();
+    for sample in failed.filter(|sample| sample.outcome != Outcome::Answered) {
+        let reason = sample.reason.as_deref().unwrap_or_default();
+        *reasons.entry((sample.outcome, reason)).or_default() += 1;
+    }
+    reasons
+}
+
 /// Returns an empty histogram of microseconds.
 pub fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, MAX_MICROS, DIGITS).expect("the constant bounds are valid")
