--- a/daemon/src/entry/mod.rs
+++ b/daemon/src/entry/mod.rs
@@ -53,6 +53,7 @@
 use self::gate::Permit;
 use self::lanes::Lanes;
 use self::once::Windows;
+use crate::baseline::Baseline;
 use crate::canary;
 use crate::canary::Canaries;
 use crate::canary::Permission;
@@ -340,7 +341,9 @@
         }
         match finished {
             Ok(finished) => {
-                permit.measured(finished.measurement);
+                if let Some(permit) = &mut permit {
+                    permit.measured(finished.measurement);
+                }
                 self.note_trial(request, &plan, &finished);
                 let duration = SystemClock.now().saturating_duration_since(started);
                 answer::from_query(id, finished.answer, duration)
@@ -354,7 +357,10 @@
         request: &CallerRequest,
         service: &Service,
         plan: &Plan,
-    ) -> Result<Permit, AnswerBody> {
+    ) -> Result<Option<Permit>, AnswerBody> {
+        if Baseline::NoLimits.is_chosen() {
+            return Ok(None);
+        }
         let id = request.request_id.unwrap_or_default();
         let found = self.gates.get(&request.service, &request.tenant);
         let (gate, tenant) = found.ok_or_else(|| answer::not_run(id, &Refusal::NoFile))?;
@@ -366,6 +372,7 @@
         };
         gate.enter(&offer)
             .await
+            .map(Some)
             .map_err(|refusal| answer::not_run(id, &refusal))
     }
 
@@ -420,7 +427,7 @@
             scope: &plan.scope,
             deadline: plan.deadline,
             idempotent: plan.idempotent,
-            hedging: service.hedging,
+            hedging: service.hedging && !Baseline::NoHedging.is_chosen(),
             minimum: service.partial.minimum,
             patience: service.partial.patience,
             canary,
