cli: use the caller protocol's types for queries

The query command had its own copy of the messages, offered a version that the entry instance refuses, and sent JSON queries as objects although the query is text. The fake answers of the tests take the real shape.

--- a/cli/src/arguments.rs
+++ b/cli/src/arguments.rs
@@ -13,8 +13,8 @@
 use camphorhold::state::id::RolloutId;
 use camphorhold::state::id::Route;
 use camphorhold::state::id::ServiceName;
+use camphorhold::state::id::ShardId;
 use camphorhold::state::id::Tenant;
-use camphorhold::state::id::VersionName;
 use clap::Args;
 use clap::Parser;
 use clap::Subcommand;
@@ -130,9 +130,10 @@
     /// The service
     #[arg(long)]
     pub service: ServiceName,
-    /// The version, instead of the one in force
-    #[arg(long)]
-    pub version: Option<VersionName>,
+    /// The shards to ask; repeat it or separate several by commas. All if absent
+    #[arg(long, value_name = "SHARD", value_delimiter = ',')]
+    pub scope: Vec<ShardId>,
+
     /// The route
     #[arg(long)]
     pub route: Route,
@@ -148,7 +149,7 @@
     /// How often to send a request that was not run
     #[arg(long, value_name = "N", default_value_t = 3, value_parser = clap::value_parser!(u32).range(1..))]
     pub attempts: u32,
-    /// The query: JSON, or text
+    /// The query text
     #[arg(value_name = "QUERY")]
     pub text: String,
 }
--- a/cli/src/commands/apply.rs
+++ b/cli/src/commands/apply.rs
@@ -6,7 +6,6 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
 use camphorhold::protocol::control::ApplyAnswer;
 use camphorhold::protocol::control::ApplyRequest;
@@ -20,6 +19,8 @@
 use camphorhold::state::id::Generation;
 use camphorhold::state::id::OperationId;
 use camphorhold::state::id::Revision;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use jsonrpsee::core::client::Error as CallError;
 use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::types::error::ErrorCode;
@@ -194,7 +195,7 @@
 
 impl Attempt {
     async fn run(&mut self, resolve_for: Duration, json: bool) -> Report {
-        let begin = Instant::now();
+        let begin = SystemClock.now();
         loop {
             let mut reasons = Vec::new();
             for address in self.instances.clone() {
@@ -210,7 +211,7 @@
                     changes: Vec::new(),
                 };
             }
-            if begin.elapsed() >= resolve_for {
+            if SystemClock.now().saturating_duration_since(begin) >= resolve_for {
                 let operation = self.request.operation;
                 return Report::Unknown { operation };
             }
--- a/cli/src/commands/moves.rs
+++ b/cli/src/commands/moves.rs
@@ -1,13 +1,14 @@
 //! `moves`: shows rollouts.
 
 use std::time::Duration;
-use std::time::SystemTime;
 
 use camphorhold::protocol::control::ControlClient;
 use camphorhold::protocol::control::Fault;
 use camphorhold::protocol::control::RolloutStage;
 use camphorhold::protocol::control::RolloutStatus;
 use camphorhold::state::id::ServiceName;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use camphorhold::state::time::from_unix_millis;
 
 use crate::arguments::Global;
@@ -62,7 +63,9 @@
 }
 
 fn age(since_unix_ms: u64) -> String {
-    let age = SystemTime::now().duration_since(from_unix_millis(since_unix_ms));
+    let age = SystemClock
+        .wall()
+        .duration_since(from_unix_millis(since_unix_ms));
     let seconds = age.unwrap_or_default().as_secs();
     humantime::format_duration(Duration::from_secs(seconds)).to_string()
 }
--- a/cli/src/commands/query.rs
+++ b/cli/src/commands/query.rs
@@ -2,10 +2,15 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
-use std::time::SystemTime;
 
-use camphorhold::state::id::VersionName;
+use camphorhold::protocol::caller::AnswerBody;
+use camphorhold::protocol::caller::Coverage;
+use camphorhold::protocol::caller::IdempotencyBody;
+use camphorhold::protocol::caller::Outcome;
+use camphorhold::protocol::caller::RequestBody;
+use camphorhold::state::id::RequestId;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use camphorhold::state::time::unix_millis;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -17,9 +22,6 @@
 use hyper::header::HOST;
 use hyper::header::RETRY_AFTER;
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
-use serde::Serialize;
-use serde_json::Value;
 use tokio::net::TcpStream;
 
 use crate::arguments::Global;
@@ -34,62 +36,10 @@
 /// The pause before a request that was not run is sent again, where the answer states none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(100);
 
-#[derive(Serialize)]
-struct Body<'a> {
-    request_id: String,
-    tenant: &'a str,
-    service: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    version: Option<&'a str>,
-    route: &'a str,
-    query: Value,
-    deadline_ms: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    worth: Option<f64>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    idempotency: Option<Idempotency<'a>>,
-}
-
-#[derive(Clone, Copy, Serialize)]
-struct Idempotency<'a> {
-    key: &'a str,
-    issued_at_ms: u64,
-}
-
-#[derive(Deserialize, Serialize)]
-struct Answer {
-    request_id: Option<String>,
-    outcome: Outcome,
-    #[serde(default)]
-    reason: Option<Value>,
-    #[serde(default)]
-    snapshot: Option<Value>,
-    #[serde(default)]
-    coverage: Option<Coverage>,
-    #[serde(default)]
-    hits: Vec<Value>,
-    #[serde(default)]
-    server_time_ms: Option<Value>,
-}
-
-#[derive(Clone, Copy, Deserialize, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-enum Outcome {
-    Answered,
-    NotRun,
-    Unknown,
-}
-
-#[derive(Deserialize, Serialize)]
-struct Coverage {
-    answered: u32,
-    in_scope: u32,
-}
-
 /// The result of one attempt.
 enum Attempt {
     /// The instance answered as documented; with a pause when the request may be sent again.
-    Answer(Answer, Option<Duration>),
+    Answer(Box<AnswerBody>, Option<Duration>),
     /// The instance refused the request itself, which it therefore did not run.
     Refused(StatusCode, String),
     /// No connection, so the request was not sent.
@@ -99,9 +49,9 @@
 }
 
 pub async fn run(global: &Global, arguments: &Query) -> Result<Exit, Error> {
-    let request_id = format!("{:032x}", rand::random::<u128>());
-    let body = serde_json::to_vec(&body(arguments, request_id.clone()))?;
-    let begin = Instant::now();
+    let request_id = RequestId(rand::random());
+    let body = serde_json::to_vec(&body(arguments, request_id))?;
+    let begin = SystemClock.now();
     let mut failures = Vec::new();
     for number in 1..=arguments.attempts {
         failures.clear();
@@ -111,7 +61,8 @@
             match attempt {
                 Attempt::NotSent(reason) => failures.push((*entry, reason)),
                 Attempt::Answer(answer, Some(pause)) if !last => {
-                    if begin.elapsed() + pause >= arguments.deadline {
+                    let waited = SystemClock.now().saturating_duration_since(begin);
+                    if waited + pause >= arguments.deadline {
                         return print(global, &answer);
                     }
                     tokio::time::sleep(pause).await;
@@ -135,20 +86,24 @@
     Err(Error::Unreachable(failures))
 }
 
-fn body(arguments: &Query, request_id: String) -> Body<'_> {
-    let text = || Value::String(arguments.text.clone());
-    let idempotency = arguments.idempotency_key.as_ref().map(|key| Idempotency {
-        key: key.as_str(),
-        issued_at_ms: unix_millis(SystemTime::now()),
-    });
-    Body {
-        request_id,
-        tenant: arguments.tenant.as_str(),
-        service: arguments.service.as_str(),
-        version: arguments.version.as_ref().map(VersionName::as_str),
-        route: arguments.route.as_str(),
-        query: serde_json::from_str(&arguments.text).unwrap_or_else(|_| text()),
-        deadline_ms: u64::try_from(arguments.deadline.as_millis()).unwrap_or(u64::MAX),
+fn body(arguments: &Query, request_id: RequestId) -> RequestBody {
+    let idempotency = arguments
+        .idempotency_key
+        .as_ref()
+        .map(|key| IdempotencyBody {
+            key: key.to_string(),
+            issued_at_ms: unix_millis(SystemClock.wall()),
+        });
+    let scope = (!arguments.scope.is_empty())
+        .then(|| arguments.scope.iter().map(|shard| shard.0).collect());
+    RequestBody {
+        request_id: Some(request_id.to_string()),
+        tenant: arguments.tenant.to_string(),
+        service: arguments.service.to_string(),
+        route: arguments.route.to_string(),
+        scope,
+        query: arguments.text.clone(),
+        deadline_ms: u64::try_from(arguments.deadline.as_millis()).ok(),
         worth: arguments.worth,
         idempotency,
     }
@@ -194,11 +149,11 @@
     let pause = pause.map_or(DEFAULT_PAUSE, Duration::from_secs);
     let bytes = response.into_body().collect().await?.to_bytes();
     driver.abort();
-    Ok(match serde_json::from_slice::<Answer>(&bytes) {
+    Ok(match serde_json::from_slice::<AnswerBody>(&bytes) {
         Ok(answer) => {
             let not_run = answer.outcome == Outcome::NotRun;
             let again = not_run && status == StatusCode::SERVICE_UNAVAILABLE;
-            Attempt::Answer(answer, again.then_some(pause))
+            Attempt::Answer(Box::new(answer), again.then_some(pause))
         }
         Err(_) if status.is_client_error() => {
             Attempt::Refused(status, String::from_utf8_lossy(&bytes).into_owned())
@@ -207,7 +162,7 @@
     })
 }
 
-fn print(global: &Global, answer: &Answer) -> Result<Exit, Error> {
+fn print(global: &Global, answer: &AnswerBody) -> Result<Exit, Error> {
     let exit = match answer.outcome {
         Outcome::Answered => Exit::Done,
         Outcome::NotRun => Exit::Refused,
@@ -218,25 +173,19 @@
         return Ok(exit);
     }
     for hit in &answer.hits {
-        output::line(&hit.to_string())?;
+        output::line(&format!("{:>7}  {}", hit.score, hit.document))?;
     }
-    let reason = match &answer.reason {
-        None | Some(Value::Null) => String::new(),
-        Some(Value::String(reason)) => format!(" ({reason})"),
-        Some(reason) => format!(" ({reason})"),
-    };
+    let reason = answer.reason.as_deref();
+    let reason = reason.map_or_else(String::new, |reason| format!(" ({reason})"));
     output::line(&format!(
         "outcome: {}{reason}",
         output::name(&answer.outcome)
     ))?;
-    if let Some(Coverage { answered, in_scope }) = answer.coverage {
-        output::line(&format!("coverage: {answered} of {in_scope} shards"))?;
-    }
-    if let Some(snapshot) = answer.snapshot.as_ref().filter(|value| !value.is_null()) {
+    let Coverage { answered, in_scope } = answer.coverage;
+    output::line(&format!("coverage: {answered} of {in_scope} shards"))?;
+    if let Some(snapshot) = answer.snapshot {
         output::line(&format!("snapshot: {snapshot}"))?;
     }
-    if let Some(request) = &answer.request_id {
-        output::line(&format!("request: {request}"))?;
-    }
+    output::line(&format!("request: {}", answer.request_id))?;
     Ok(exit)
 }
--- a/cli/tests/views.rs
+++ b/cli/tests/views.rs
@@ -223,15 +223,19 @@
 
 const NOT_RUN: &str = "HTTP/1.1 503 Service Unavailable\r\nretry-after: 0\r\n\
     connection: close\r\n\r\n\
-    {\"request_id\":\"0a\",\"outcome\":\"not_run\",\"reason\":\"overloaded\",\"hits\":[]}";
+    {\"request_id\":\"0a\",\"outcome\":\"not_run\",\"reason\":\"overloaded\",\
+    \"coverage\":{\"answered\":0,\"in_scope\":0},\"hits\":[],\"server_time_ms\":0}";
 const ANSWERED: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n\
     {\"request_id\":\"0a\",\"outcome\":\"answered\",\"snapshot\":7,\
-    \"coverage\":{\"answered\":19,\"in_scope\":20},\"hits\":[{\"id\":1}],\"server_time_ms\":4}";
+    \"coverage\":{\"answered\":19,\"in_scope\":20},\
+    \"hits\":[{\"document\":\"d1\",\"score\":41}],\"server_time_ms\":4}";
 const UNKNOWN: &str = "HTTP/1.1 504 Gateway Timeout\r\nconnection: close\r\n\r\n\
-    {\"request_id\":\"0a\",\"outcome\":\"unknown\",\"reason\":\"connection lost\"}";
+    {\"request_id\":\"0a\",\"outcome\":\"unknown\",\"reason\":\"connection lost\",\
+    \"coverage\":{\"answered\":0,\"in_scope\":0},\"hits\":[],\"server_time_ms\":0}";
 /// The outcome counts, not the status.
 const UNKNOWN_WITH_503: &str = "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n\
-    {\"request_id\":\"0a\",\"outcome\":\"unknown\"}";
+    {\"request_id\":\"0a\",\"outcome\":\"unknown\",\
+    \"coverage\":{\"answered\":0,\"in_scope\":0},\"hits\":[],\"server_time_ms\":0}";
 const WRONG_TENANT: &str = "HTTP/1.1 403 Forbidden\r\nconnection: close\r\n\r\nwrong tenant";
 
 async fn query(responses: Vec<&'static str>) -> support::Output {
@@ -256,11 +260,11 @@
 async fn query_repeats_a_request_that_was_not_run() {
     let output = query(vec![NOT_RUN, ANSWERED]).await;
     expect![[r#"
-        {"id":1}
+             41  d1
         outcome: answered
         coverage: 19 of 20 shards
         snapshot: 7
-        request: 0a
+        request: 0000000000000000000000000000000a
     "#]]
     .assert_eq(&output.stdout);
     assert_eq!(output.code, Some(0), "{}", output.stderr);
@@ -275,7 +279,8 @@
     let output = query(vec![UNKNOWN, ANSWERED]).await;
     expect![[r#"
         outcome: unknown (connection lost)
-        request: 0a
+        coverage: 0 of 0 shards
+        request: 0000000000000000000000000000000a
     "#]]
     .assert_eq(&output.stdout);
     assert_eq!(output.code, Some(4));
