leaf: keep a drain signal until the server itself takes it back

Cause: the actor passed "returned" on with every view that did not list the drain, so a view that was published before the drain had spread cancelled it; and facts about leafs expire after a minute while an unchanged state was never reported again, so a draining server got calls again and a late instance never learned what the leafs hold (4 of 4 of its queries found no usable replica).

--- a/daemon/src/leaf/actor.rs
+++ b/daemon/src/leaf/actor.rs
@@ -56,6 +56,10 @@
 /// How often it sees time pass while it has none.
 const IDLE_TICK: Duration = Duration::from_millis(100);
 
+/// How often an unchanged state of the leaf is reported again. Shared facts about leafs expire
+/// after a minute unless renewed.
+const RENEWAL: Duration = Duration::from_secs(25);
+
 /// What a leaf serves.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -133,7 +137,10 @@
     orders: HashMap<ConnectionId, mpsc::UnboundedSender<Order>>,
     /// The answer that the state machine is deciding about.
     answer: Option<Box<SearchAnswer>>,
-    last_status: Option<Observation>,
+    /// What was reported last, and when.
+    last_status: Option<(Observation, Instant)>,
+    /// Whether the drain signal is among the facts that all instances share.
+    drain_spread: bool,
     actions: Vec<Action>,
     state: Arc<Mutex<State>>,
 }
@@ -166,11 +173,12 @@
         orders: HashMap::new(),
         answer: None,
         last_status: None,
+        drain_spread: false,
         actions: Vec::new(),
         state,
     };
     let mut owned = actor.take_view(&views.borrow_and_update().clone());
-    while owned || !actor.orders.is_empty() || !actor.jobs.is_empty() {
+    while owned || actor.is_busy() {
         let tick = if actor.machine.is_idle() {
             IDLE_TICK
         } else {
@@ -189,6 +197,12 @@
 }
 
 impl Actor {
+    /// Tells whether calls of this instance may still run at the leaf. Calls whose connection was
+    /// lost count until their deadline, because the next owner must not send beside them.
+    fn is_busy(&self) -> bool {
+        !self.orders.is_empty() || !self.jobs.is_empty() || !self.machine.is_idle()
+    }
+
     fn take_command(&mut self, command: Command) {
         match command {
             Command::Submit(call, caller, job) => self.submit(call, caller, job),
@@ -228,12 +242,7 @@
             self.file = Some(Arc::clone(file));
             self.take_file(&Arc::clone(file));
         }
-        let signal = if view.drains.contains(&self.leaf) {
-            Signal::Leaving(Source::Server)
-        } else {
-            Signal::Returned(Source::Server)
-        };
-        self.input(Input::Drain(signal));
+        self.take_drain(view.drains.contains(&self.leaf));
         let assignment = view.ownership.leaf(self.leaf);
         let everyone = Baseline::EveryInstanceConnects.is_chosen();
         let owned =
@@ -250,6 +259,20 @@
         owned
     }
 
+    /// Takes what other instances say about the leaf's draining. A signal that was seen here stands
+    /// until it has spread and is taken back.
+    fn take_drain(&mut self, draining: bool) {
+        if draining != self.drain_spread {
+            self.drain_spread = draining;
+            let signal = if draining {
+                Signal::Leaving(Source::Server)
+            } else {
+                Signal::Returned(Source::Server)
+            };
+            self.input(Input::Drain(signal));
+        }
+    }
+
     fn take_file(&mut self, file: &File) {
         let leaf = file.leafs().find(|(_, _, leaf)| leaf.id == self.leaf);
         let out =
@@ -281,7 +304,12 @@
                 self.input(Input::NotWritten { connection, call });
             }
             Event::CancelAnswered => self.input(Input::CancelAnswered { connection }),
-            Event::Status(answer) => self.observe(&answer),
+            Event::Status(answer) => {
+                self.observe(&answer);
+                if answer.status == Status::Draining {
+                    self.input(Input::Drain(Signal::Leaving(Source::Server)));
+                }
+            }
             Event::Answered(answer) => self.answered(connection, answer),
         }
     }
@@ -307,8 +335,12 @@
     /// Reports what the leaf says about itself, if it changed.
     fn observe(&mut self, answer: &SearchAnswer) {
         let observation = Observation::new(self.leaf, answer);
-        if self.last_status.as_ref() != Some(&observation) {
-            self.last_status = Some(observation.clone());
+        let now = SystemClock.now();
+        let known = self.last_status.as_ref().is_some_and(|(last, at)| {
+            *last == observation && now.saturating_duration_since(*at) < RENEWAL
+        });
+        if !known {
+            self.last_status = Some((observation.clone(), now));
             let _ = self.observations.send(observation);
         }
     }
