--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -68,8 +68,15 @@
 
 /// Routes the platform's and the operators' probes.
 pub fn router(readiness: Arc<Readiness>, metrics: PrometheusHandle) -> Router {
+    let probed = Arc::clone(&readiness);
     let render = move || {
         let metrics = metrics.clone();
+        let ready = if probed.obstacle().is_none() {
+            1.0
+        } else {
+            0.0
+        };
+        metrics::gauge!("camphorhold_ready").set(ready);
         async move { text(StatusCode::OK, metrics.render()) }
     };
     let router = Router::new()
--- a/daemon/src/canary.rs
+++ b/daemon/src/canary.rs
@@ -53,6 +53,8 @@
     Blocked(Fingerprint),
     /// Another request's canary did not end before the deadline.
     TooLate,
+    /// Not now, because too many requests are being watched.
+    Full,
 }
 
 /// The canaries and crash counts of this instance.
@@ -145,6 +147,7 @@
                 Admission::KnownGood => return Permission::Free,
                 Admission::RunCanary => return Permission::Canary(fingerprint),
                 Admission::Blocked => return Permission::Blocked(fingerprint),
+                Admission::Full => return Permission::Full,
                 Admission::WaitForCanary if SystemClock.now() >= deadline => {
                     return Permission::TooLate;
                 }
@@ -173,7 +176,9 @@
         let outcome = match admission {
             Admission::RunCanary => return,
             Admission::KnownGood => poison::Outcome::Ok,
-            Admission::WaitForCanary | Admission::Blocked => poison::Outcome::Survived,
+            Admission::WaitForCanary | Admission::Blocked | Admission::Full => {
+                poison::Outcome::Survived
+            }
         };
         lock(&self.entered).canary_finished(fingerprint, outcome, SystemClock.now());
     }
--- a/daemon/src/control/thread.rs
+++ b/daemon/src/control/thread.rs
@@ -13,7 +13,6 @@
 use camphorhold::coordination::proposal;
 use camphorhold::coordination::proposal::Accepted;
 use camphorhold::state::event::Kind;
-use camphorhold::state::event::Reason;
 use camphorhold::state::event::Subject;
 use camphorhold::state::id::InstanceId;
 use camphorhold::state::id::OperationId;
@@ -240,6 +239,12 @@
         #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
         let generation = view.generation().0 as f64;
         metrics::gauge!("camphorhold_generation").set(generation);
+        let currency = match view.currency {
+            Currency::Current => 2.0,
+            Currency::Witnessed => 1.0,
+            Currency::Lost => 0.0,
+        };
+        metrics::gauge!("camphorhold_currency").set(currency);
         self.last = Arc::clone(&view);
         let _ = self.views.send(view);
     }
@@ -279,7 +284,6 @@
     fn note_changes(&self, view: &View) {
         if !Arc::ptr_eq(&self.last.record, &view.record) {
             self.note_members(&self.last.record, &view.record);
-            self.note_rollouts(&self.last.record, &view.record);
         }
         for leaf in view.drains.difference(&self.last.drains) {
             let subject = Subject {
@@ -314,19 +318,6 @@
         }
     }
 
-    fn note_rollouts(&self, old: &Record, new: &Record) {
-        for (rollout, stage) in &new.rollouts {
-            if old.rollouts.get(rollout) != Some(stage) {
-                let subject = Subject {
-                    rollout: Some(rollout.clone()),
-                    ..Subject::default()
-                };
-                let stage = Reason(format!("{stage:?}").into());
-                self.recorder.record(Kind::RolloutStage { stage }, subject);
-            }
-        }
-    }
-
     fn note_domains(&self, view: &View) {
         let (Some(old), Some(new)) = (&self.last.file, &view.file) else {
             return;
--- a/daemon/src/entry/answer.rs
+++ b/daemon/src/entry/answer.rs
@@ -26,6 +26,9 @@
     /// The request crashed backend servers.
     #[error("the request crashed backend servers and is blocked")]
     Poison,
+    /// Too many new requests are being tried out.
+    #[error("too many new requests are being tried out")]
+    CanariesFull,
     /// The canary of an equal request did not end in time.
     #[error("an equal request is being tried out")]
     CanaryRuns,
--- a/daemon/src/entry/once.rs
+++ b/daemon/src/entry/once.rs
@@ -64,10 +64,19 @@
     Lost,
 }
 
+/// A window that nobody asked for this long holds no key that a request can still ask for.
+const KEPT_UNUSED: Duration = idempotency::WINDOW.saturating_add(Duration::from_mins(1));
+
+/// A replay window, and when it was last asked.
+struct HeldWindow {
+    window: Window,
+    used: Instant,
+}
+
 /// The replay windows of the keys that this instance owns.
 pub struct Windows {
     /// One window per moment since which this instance owns its keys without a gap.
-    windows: Mutex<BTreeMap<Instant, Window>>,
+    windows: Mutex<BTreeMap<Instant, HeldWindow>>,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -81,19 +90,27 @@
 }
 
 impl Windows {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<Instant, Window>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Instant, HeldWindow>> {
         self.windows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn begin(&self, view: &View, owned: &Owned, idempotency: &Idempotency) -> Begin {
         let wall = SystemClock.wall();
+        let now = SystemClock.now();
         let mut windows = self.lock();
-        let window = windows.entry(owned.began).or_insert_with(|| {
-            let acting = SystemClock.now().saturating_duration_since(owned.ready_at);
+        windows.retain(|_, held| now.saturating_duration_since(held.used) < KEPT_UNUSED);
+        let held = windows.entry(owned.began).or_insert_with(|| {
+            let acting = now.saturating_duration_since(owned.ready_at);
             let since = wall.checked_sub(acting).unwrap_or(SystemTime::UNIX_EPOCH);
-            Window::new(view.instance, view.generation(), CAPACITY, since)
+            let generation = view.generation();
+            HeldWindow {
+                window: Window::new(view.instance, generation, CAPACITY, since),
+                used: now,
+            }
         });
-        window.begin(&idempotency.key, idempotency.issued_at, wall)
+        held.used = now;
+        held.window
+            .begin(&idempotency.key, idempotency.issued_at, wall)
     }
 
     fn finish(
@@ -103,8 +120,8 @@
         end: End,
     ) -> Option<idempotency::Outcome> {
         let mut windows = self.lock();
-        let window = windows.get_mut(&owned.began)?;
-        window
+        let held = windows.get_mut(&owned.began)?;
+        held.window
             .finish(&idempotency.key, end)
             .unwrap_or_else(|error| {
                 log::error!("cannot note the end of {}: {error}", idempotency.key);
--- a/daemon/src/entry/search.rs
+++ b/daemon/src/entry/search.rs
@@ -143,6 +143,7 @@
                 self.recorder.record(kind, subject);
                 Err(answer::not_run(id, &Refusal::Poison))
             }
+            Permission::Full => Err(answer::not_run(id, &Refusal::CanariesFull)),
             Permission::TooLate => Err(answer::not_run(id, &Refusal::CanaryRuns)),
         }
     }
--- a/daemon/src/entry/server.rs
+++ b/daemon/src/entry/server.rs
@@ -193,6 +193,10 @@
         };
         metrics::counter!("camphorhold_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("camphorhold_request_seconds").record(answer.server_time_ms / 1000.0);
+        let answered = u64::from(answer.coverage.answered);
+        metrics::counter!("camphorhold_shards_answered_total").increment(answered);
+        let in_scope = u64::from(answer.coverage.in_scope);
+        metrics::counter!("camphorhold_shards_in_scope_total").increment(in_scope);
         let kind = match answer.outcome {
             Outcome::Answered => Kind::RequestAnswered {
                 answered: answer.coverage.answered,
--- a/daemon/src/leaf/actor.rs
+++ b/daemon/src/leaf/actor.rs
@@ -10,7 +10,6 @@
 use camphorhold::coordination::call::CallId;
 use camphorhold::coordination::call::Caller;
 use camphorhold::coordination::call::ConnectionId;
-use camphorhold::coordination::call::NotRun;
 use camphorhold::coordination::dispatch;
 use camphorhold::coordination::dispatch::Action;
 use camphorhold::coordination::dispatch::Input;
@@ -24,7 +23,6 @@
 use camphorhold::protocol::leaf::Search;
 use camphorhold::protocol::leaf::SearchAnswer;
 use camphorhold::protocol::leaf::Status;
-use camphorhold::protocol::leaf::Temperature;
 use camphorhold::protocol::peer::Failure;
 use camphorhold::protocol::peer::Part;
 use camphorhold::protocol::peer::Query;
@@ -47,8 +45,14 @@
 use super::connection;
 use super::connection::Event;
 use super::connection::Order;
+use super::notes::Notes;
 use super::observation::Observation;
+use super::translate::failure;
+use super::translate::refusal;
+use super::translate::status;
+use super::translate::temperature;
 use crate::baseline::Baseline;
+use crate::timeline::Recorder;
 
 /// How often the state machine sees time pass while it has work.
 const BUSY_TICK: Duration = Duration::from_millis(5);
@@ -124,6 +128,7 @@
     pub views: watch::Receiver<Arc<View>>,
     pub observations: mpsc::UnboundedSender<Observation>,
     pub state: Arc<Mutex<State>>,
+    pub recorder: Arc<Recorder>,
 }
 
 struct Actor {
@@ -143,6 +148,7 @@
     drain_spread: bool,
     actions: Vec<Action>,
     state: Arc<Mutex<State>>,
+    notes: Notes,
 }
 
 /// A job that has not ended.
@@ -161,7 +167,9 @@
         mut views,
         observations,
         state,
+        recorder,
     } = environment;
+    let notes = Notes::new(recorder, target.service.clone(), leaf);
     let mut actor = Actor {
         leaf,
         commands,
@@ -176,6 +184,7 @@
         drain_spread: false,
         actions: Vec::new(),
         state,
+        notes,
     };
     let mut owned = actor.take_view(&views.borrow_and_update().clone());
     while owned || actor.is_busy() {
@@ -256,6 +265,8 @@
             _ => Ownership::Lost,
         };
         self.input(Input::Ownership(ownership));
+        self.notes
+            .ownership(matches!(ownership, Ownership::Held { .. }), owned);
         owned
     }
 
@@ -296,7 +307,9 @@
                 self.input(Input::ConnectionFailed { connection });
             }
             Event::Lost => {
-                self.orders.remove(&connection);
+                if self.orders.remove(&connection).is_some() {
+                    self.notes.connection_lost();
+                }
                 self.input(Input::ConnectionLost { connection });
             }
             Event::LostUnsent(call) => {
@@ -355,6 +368,7 @@
             self.carry_out(&action);
         }
         self.actions = actions;
+        self.notes.warmth(self.machine.warmth().state());
         *self.state.lock().unwrap_or_else(PoisonError::into_inner) = State {
             warmth: self.machine.warmth().state(),
             in_flight: self.machine.in_flight(),
@@ -458,43 +472,3 @@
         result,
     });
 }
-
-fn status(status: Status) -> dispatch::Status {
-    match status {
-        Status::Ok => dispatch::Status::Ok,
-        Status::Shed => dispatch::Status::Shed,
-        Status::Draining => dispatch::Status::Draining,
-        Status::NotStarted => dispatch::Status::NotStarted,
-        Status::WrongSnapshot => dispatch::Status::WrongSnapshot,
-        Status::Failed => dispatch::Status::Failed,
-    }
-}
-
-fn temperature(temperature: Temperature) -> warmth::Temperature {
-    match temperature {
-        Temperature::Cold => warmth::Temperature::Cold,
-        Temperature::Warm => warmth::Temperature::Warm,
-    }
-}
-
-fn refusal(reason: NotRun) -> Failure {
-    match reason {
-        NotRun::OwnershipDoubtful | NotRun::NotOwner => Failure::NotOwner,
-        NotRun::Draining(_) => Failure::Draining,
-        NotRun::QueueFull => Failure::Overloaded,
-        NotRun::Shed => Failure::Shed,
-        NotRun::QueueTimeout
-        | NotRun::DeadlineTooClose
-        | NotRun::Cancelled
-        | NotRun::NotStarted
-        | NotRun::NotWritten => Failure::NotStarted,
-    }
-}
-
-fn failure(cause: dispatch::Failure) -> Failure {
-    match cause {
-        dispatch::Failure::ResetAfterSent => Failure::Reset,
-        dispatch::Failure::Timeout | dispatch::Failure::Cancelled => Failure::Timeout,
-        dispatch::Failure::CrossedAnswer => Failure::Invalid,
-    }
-}
--- a/daemon/src/leaf/mod.rs
+++ b/daemon/src/leaf/mod.rs
@@ -2,7 +2,9 @@
 
 mod actor;
 mod connection;
+mod notes;
 mod observation;
+mod translate;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -29,12 +31,13 @@
 use self::actor::Target;
 use crate::baseline::Baseline;
 use crate::control::Handle;
+use crate::timeline::Recorder;
 
 /// The tasks of the owned leafs.
-#[derive(Default)]
 pub struct Pool {
     actors: Mutex<HashMap<LeafId, Actor>>,
     next_call: AtomicU64,
+    recorder: Arc<Recorder>,
 }
 
 struct Actor {
@@ -50,6 +53,14 @@
 }
 
 impl Pool {
+    pub fn new(recorder: Arc<Recorder>) -> Self {
+        Self {
+            actors: Mutex::default(),
+            next_call: AtomicU64::new(0),
+            recorder,
+        }
+    }
+
     /// Submits a call to a leaf; the job's reply channel gets the result.
     ///
     /// # Errors
@@ -142,6 +153,7 @@
                 views: control.views(),
                 observations: observations.clone(),
                 state: Arc::clone(&state),
+                recorder: Arc::clone(&self.recorder),
             };
             self.lock().insert(leaf, Actor { commands, state });
             let pool = Arc::clone(self);
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -131,7 +131,7 @@
         }
     });
     let recorder = Arc::new(Recorder::new(settings.events_kept));
-    let leafs = Arc::new(Pool::default());
+    let leafs = Arc::new(Pool::new(Arc::clone(&recorder)));
     let canaries = Arc::new(Canaries::new(Arc::clone(&recorder)));
     let balancer_wait = settings.balancer_wait;
     log::info!(
--- a/daemon/src/timeline.rs
+++ b/daemon/src/timeline.rs
@@ -63,6 +63,8 @@
             subject,
             kind,
         });
+        let dropped = inner.ring.dropped();
+        metrics::counter!("camphorhold_events_dropped_total").absolute(dropped);
     }
 
     /// Returns a timestamp for a message to another instance.
--- a/lib/src/protocol/instance.rs
+++ b/lib/src/protocol/instance.rs
@@ -91,8 +91,10 @@
     RunCanary,
     /// Not before the canary that is running has ended.
     WaitForCanary,
-    /// Not at all: it crashed too many servers, or there is no room to watch it.
+    /// Not at all: it crashed too many servers.
     Blocked,
+    /// Not now: too many requests are being watched.
+    Full,
 }
 
 impl From<poison::Admission> for Admission {
@@ -101,7 +103,8 @@
             poison::Admission::KnownGood => Self::KnownGood,
             poison::Admission::RunCanary => Self::RunCanary,
             poison::Admission::WaitForCanary => Self::WaitForCanary,
-            poison::Admission::Blocked { .. } | poison::Admission::Full => Self::Blocked,
+            poison::Admission::Blocked { .. } => Self::Blocked,
+            poison::Admission::Full => Self::Full,
         }
     }
 }
