daemon: refuse requests with a key truthfully and in time

Two faults of non-idempotent requests that enter at another instance than the owner of their key:

A resend was refused as not run while the owner was dead and still listed, although the first send had run. The caller could then enter the same gift under a new key. Only the owner knows whether an earlier send ran, so each refusal by another instance now says that the outcome is unknown (504 instead of 503).

A forwarded request waited without limit for an owner that was paused with open connections. It now ends at the request's deadline with an unknown outcome.

--- a/daemon/src/entry/mod.rs
+++ b/daemon/src/entry/mod.rs
@@ -269,15 +269,23 @@
     /// Checks a request against the file in force. Returns a response if it does not run.
     fn obstacle(&self, request: &CallerRequest) -> Option<Response> {
         let id = request.request_id.unwrap_or_default();
+        let refuse = |refusal: &Refusal| {
+            // An earlier send of a request with a key may have run.
+            let answer = match request.idempotency {
+                None => answer::not_run(id, refusal),
+                Some(_) => answer::unknown(id, refusal),
+            };
+            Some(respond(&answer))
+        };
         if !self.takes_work.load(Ordering::Relaxed) {
-            return Some(respond(&answer::not_run(id, &Refusal::ShuttingDown)));
+            return refuse(&Refusal::ShuttingDown);
         }
         let view = self.control.view();
         if !view.may_act(SystemClock.now()) {
-            return Some(respond(&answer::not_run(id, &Refusal::CurrencyLost)));
+            return refuse(&Refusal::CurrencyLost);
         }
         let Some(file) = &view.file else {
-            return Some(respond(&answer::not_run(id, &Refusal::NoFile)));
+            return refuse(&Refusal::NoFile);
         };
         let Some(service) = file.services.get(&request.service) else {
             return Some(reject(StatusCode::NOT_FOUND, &"the service is unknown"));
--- a/daemon/src/entry/once.rs
+++ b/daemon/src/entry/once.rs
@@ -62,6 +62,9 @@
     /// The owner may have run the request.
     #[error("the connection to the owner of the idempotency key was lost")]
     Lost,
+    /// The owner did not answer before the deadline.
+    #[error("the owner of the idempotency key did not answer in time")]
+    Late,
 }
 
 /// The replay windows of the keys that this instance owns.
@@ -143,6 +146,9 @@
 
 /// Runs a request with an idempotency key at its owner. `hops` is the number of times that it may
 /// be forwarded.
+///
+/// Only the owner knows whether an earlier send of the request ran, so every refusal by another
+/// instance says that the outcome is unknown.
 pub async fn run(
     entry: &Entry,
     body: &RequestBody,
@@ -153,16 +159,20 @@
     let id = request.request_id.unwrap_or_default();
     let view = entry.control.view();
     if !view.may_act(SystemClock.now()) {
-        return answer::not_run(id, &Refusal::CurrencyLost);
+        return answer::unknown(id, &Refusal::CurrencyLost);
     }
     match place(&view, idempotency) {
         Place::Here(owned) => run_here(entry, &view, request, idempotency, &owned).await,
-        Place::At(owner) if hops > 0 => match forward(entry, owner, body).await {
-            Ok(answer) => answer,
-            Err(ForwardError::NotSent) => answer::not_run(id, &ForwardError::NotSent),
-            Err(ForwardError::Lost) => answer::unknown(id, &ForwardError::Lost),
-        },
-        Place::At(_) | Place::Nowhere => answer::not_run(id, &Refusal::KeyOwnerChanging),
+        Place::At(owner) if hops > 0 => {
+            let limit = time_limit(&view, request);
+            // A paused owner keeps its connections open and answers nothing.
+            match tokio::time::timeout(limit, forward(entry, owner, body)).await {
+                Ok(Ok(answer)) => answer,
+                Ok(Err(error)) => answer::unknown(id, &error),
+                Err(_) => answer::unknown(id, &ForwardError::Late),
+            }
+        }
+        Place::At(_) | Place::Nowhere => answer::unknown(id, &Refusal::KeyOwnerChanging),
     }
 }
 
