shutdown: count the work in flight after new work is refused

When the balancer wait ended, the shutdown went on with the count of the tick before. A request taken in the 20 ms since was not in it, so the instance released its leafs, exited and cut the request. A count now ends the drain only if it was made after the refusal of new work.

Ruled out: an answer lost after its request had ended; the log of the failing run says '1 requests were cut'.

--- a/lib/src/coordination/shutdown.rs
+++ b/lib/src/coordination/shutdown.rs
@@ -82,6 +82,9 @@
     signalled: Option<Instant>,
     released_at: Option<Instant>,
     in_flight: InFlight,
+    /// Whether the work in flight was counted since new work is refused. An earlier count misses
+    /// what was taken after it.
+    is_counted: bool,
 }
 
 impl Default for Shutdown {
@@ -91,6 +94,7 @@
             signalled: None,
             released_at: None,
             in_flight: InFlight::default(),
+            is_counted: false,
         }
     }
 }
@@ -120,7 +124,10 @@
             Input::BalancerWaitElapsed if self.state == State::NotReady => {
                 self.drain(&mut actions);
             }
-            Input::InFlight(in_flight) => self.in_flight = in_flight,
+            Input::InFlight(in_flight) => {
+                self.in_flight = in_flight;
+                self.is_counted = self.state >= State::Draining;
+            }
             Input::Released if self.state == State::Releasing => self.close(&mut actions),
             _ => {}
         }
@@ -137,7 +144,7 @@
         if self.state == State::NotReady && late {
             self.drain(actions);
         }
-        if self.state == State::Draining && self.in_flight.is_none() {
+        if self.state == State::Draining && self.is_counted && self.in_flight.is_none() {
             self.state = State::Releasing;
             self.released_at = Some(now);
             actions.push(Action::Release);
--- a/lib/tests/owner_parts.rs
+++ b/lib/tests/owner_parts.rs
@@ -225,6 +225,31 @@
     assert_eq!(handle(shutdown::Input::Tick), []);
 }
 
+/// Guards against a request that is cut because it was taken between the last count of work and the
+/// refusal of new work.
+#[test]
+fn a_shutdown_counts_work_after_it_refuses_more() {
+    let now = Instant::now();
+    let mut shutdown = Shutdown::default();
+    let mut handle = |input| shutdown.handle(input, now);
+    let idle = shutdown::InFlight::default();
+    handle(shutdown::Input::Signal);
+    handle(shutdown::Input::InFlight(idle));
+    assert_eq!(
+        handle(shutdown::Input::BalancerWaitElapsed),
+        [shutdown::Action::RefuseNewWork]
+    );
+    let busy = shutdown::InFlight {
+        requests: 1,
+        leaf_calls: 0,
+    };
+    assert_eq!(handle(shutdown::Input::InFlight(busy)), []);
+    assert_eq!(
+        handle(shutdown::Input::InFlight(idle)),
+        [shutdown::Action::Release]
+    );
+}
+
 /// Guards against a shutdown that never ends because the balancer, a request or the release hangs.
 #[test]
 fn a_shutdown_ends_within_its_bound() {
