control: compress file bodies, records and large messages

Cause: a whole file travels with each change. The record with 1,900 members has 63,683 bytes in postcard and 291,164 in JSON.

Change: bodies travel in parts of their compressed form. Messages of 2 KiB and more and values of the key-value service of 16 KiB and more are compressed. The decompressed size is bounded (1 MiB), with typed errors; a body that cannot be decompressed is dropped and asked for again. Uses flate2 with its pure-Rust backend. Values below 16 KiB stay readable in the store.

The test of bodies that come in parts now pads with random digits, because its repeated padding would fit one part after compression.

Ruled out: messages below 2 KiB, which are digests and heartbeats of random ids. Not tried: lz4_flex.

--- a/daemon/src/control/store.rs
+++ b/daemon/src/control/store.rs
@@ -8,6 +8,7 @@
 use camphorhold::coordination::proposal::StoreRevision;
 use camphorhold::coordination::proposal::Stored;
 use camphorhold::coordination::proposal::Swapped;
+use camphorhold::state::compression;
 use camphorhold::state::record::FileRef;
 use camphorhold::state::record::Record;
 use camphorhold::transport::store::CallError;
@@ -15,6 +16,9 @@
 use camphorhold::transport::store::Swap;
 use camphorhold::transport::store::Versioned;
 
+/// The largest record or file body, in bytes, before compression.
+const MAX_VALUE_BYTES: usize = 1024 * 1024;
+
 /// The system's keys in the key-value service.
 #[derive(Clone)]
 pub struct Store {
@@ -56,7 +60,7 @@
         count("read");
         let read = self.client.read(&self.file_key(file), 0).await;
         let result = match read {
-            Ok(versioned) => Ok(versioned.and_then(text)),
+            Ok(versioned) => versioned.map(text).transpose(),
             Err(error) => Err(failure("read a file", &error)),
         };
         Input::FileRead { request, result }
@@ -66,7 +70,10 @@
         count("write");
         let written = self
             .client
-            .write(&self.file_key(file), text.as_bytes().to_vec())
+            .write(
+                &self.file_key(file),
+                compression::pack(text.as_bytes().to_vec()),
+            )
             .await;
         let result = written.map_err(|error| failure("write a file", &error));
         Input::FileWritten { request, result }
@@ -80,7 +87,7 @@
     ) -> Input {
         count("write");
         let swapped = match serde_json::to_vec(&*record) {
-            Ok(value) => self.swap(expected, value).await,
+            Ok(value) => self.swap(expected, compression::pack(value)).await,
             Err(error) => {
                 log::error!("cannot encode the record: {error}");
                 Swapped::NotSent
@@ -114,7 +121,8 @@
 }
 
 fn decode(versioned: &Versioned) -> Result<Stored, StoreFailure> {
-    match serde_json::from_slice(&versioned.value) {
+    let value = unpack(versioned.value.clone())?;
+    match serde_json::from_slice(&value) {
         Ok(record) => Ok(Stored {
             record: Arc::new(record),
             revision: StoreRevision(versioned.mod_revision),
@@ -126,6 +134,17 @@
     }
 }
 
-fn text(versioned: Versioned) -> Option<Arc<str>> {
-    String::from_utf8(versioned.value).ok().map(Arc::from)
+fn text(versioned: Versioned) -> Result<Arc<str>, StoreFailure> {
+    let value = unpack(versioned.value)?;
+    String::from_utf8(value).map(Arc::from).map_err(|error| {
+        log::error!("a file in the key-value service cannot be decoded: {error}");
+        StoreFailure
+    })
+}
+
+fn unpack(value: Vec<u8>) -> Result<Vec<u8>, StoreFailure> {
+    compression::unpack(value, MAX_VALUE_BYTES).map_err(|error| {
+        log::error!("a value in the key-value service cannot be decompressed: {error}");
+        StoreFailure
+    })
 }
--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -5,6 +5,7 @@
 //! [`Input::Tick`] at [`Machine::next_wakeup`].
 
 mod apply;
+mod body;
 mod exchange;
 mod message;
 mod settings;
@@ -19,7 +20,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use self::apply::Body;
+use self::body::Body;
 pub use self::message::Action;
 pub use self::message::BodyPart;
 pub use self::message::BodyRequest;
--- a/lib/src/coordination/control/apply.rs
+++ b/lib/src/coordination/control/apply.rs
@@ -10,8 +10,6 @@
 use rand::Rng;
 
 use crate::coordination::control::Action;
-use crate::coordination::control::BodyPart;
-use crate::coordination::control::BodyRequest;
 use crate::coordination::control::Event;
 use crate::coordination::control::Machine;
 use crate::coordination::control::Message;
@@ -38,81 +36,6 @@
 /// Releases kept for generations that are not applied yet.
 const MAX_EARLY_RELEASES: usize = 256;
 
-/// The largest file body, the same as the store's largest value.
-const MAX_BODY_BYTES: u64 = 1024 * 1024;
-
-/// File bodies: the last one received whole, the one on offer, and the one being received.
-#[derive(Debug, Default)]
-pub(super) struct Body {
-    held: Option<(FileRef, Arc<str>)>,
-    offered: Option<(FileRef, Arc<str>)>,
-    parts: Option<(FileRef, Vec<u8>)>,
-    rejected: Option<FileRef>,
-}
-
-impl Body {
-    /// Keeps the body of a file that this instance proposes.
-    pub(super) fn offer(&mut self, file: FileRef, text: Arc<str>) {
-        self.offered = Some((file, text));
-    }
-
-    fn take(&mut self, file: FileRef, text: Arc<str>) {
-        if file.matches(&text) {
-            self.held = Some((file, text));
-            self.parts = None;
-        }
-    }
-
-    /// Returns the body if it is here.
-    fn get(&self, file: FileRef) -> Option<&Arc<str>> {
-        let bodies = [self.held.as_ref(), self.offered.as_ref()];
-        let mut bodies = bodies.into_iter().flatten();
-        bodies.find(|(name, _)| *name == file).map(|(_, text)| text)
-    }
-
-    pub(super) fn request(&self, record: &Record) -> Option<BodyRequest> {
-        let file = record.file.filter(|file| self.get(*file).is_none())?;
-        let parts = self.parts.as_ref().filter(|(name, _)| *name == file);
-        let offset = parts.map_or(0, |(_, bytes)| bytes.len() as u64);
-        Some(BodyRequest { file, offset })
-    }
-
-    pub(super) fn part(&self, request: BodyRequest, budget: usize) -> Option<BodyPart> {
-        let bytes = self.get(request.file)?.as_bytes();
-        let start = usize::try_from(request.offset).ok()?;
-        let end = start.saturating_add(budget).min(bytes.len());
-        Some(BodyPart {
-            file: request.file,
-            offset: request.offset,
-            total: bytes.len() as u64,
-            bytes: bytes.get(start..end)?.to_vec(),
-        })
-    }
-
-    /// Takes a part. Tells whether it was the one that was missing.
-    pub(super) fn on_part(&mut self, part: BodyPart, record: &Record) -> bool {
-        let wanted = self.request(record);
-        let expected =
-            wanted.is_some_and(|wanted| wanted.file == part.file && wanted.offset == part.offset);
-        if !expected || part.bytes.is_empty() || part.total > MAX_BODY_BYTES {
-            return false;
-        }
-        let (_, bytes) = match &mut self.parts {
-            Some(parts) if parts.0 == part.file => parts,
-            parts => parts.insert((part.file, Vec::new())),
-        };
-        bytes.extend(part.bytes);
-        if bytes.len() as u64 >= part.total {
-            let text = String::from_utf8(std::mem::take(bytes));
-            self.parts = None;
-            if let Ok(text) = text {
-                self.take(part.file, text.into());
-            }
-        }
-        true
-    }
-}
-
 /// Returns the view before any record was applied.
 pub(super) fn first_view(instance: InstanceId, record: Arc<Record>, table: Arc<Table>) -> View {
     View {
--- a/lib/src/coordination/control/message.rs
+++ b/lib/src/coordination/control/message.rs
@@ -59,18 +59,18 @@
 pub struct BodyRequest {
     /// The body.
     pub file: FileRef,
-    /// Bytes that the sender has already.
+    /// Bytes of the compressed body that the sender has already.
     pub offset: u64,
 }
 
-/// A part of a file body.
+/// A part of a file body as [`compress`](crate::state::compression::compress) made it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BodyPart {
     /// The body.
     pub file: FileRef,
     /// Where the part begins.
     pub offset: u64,
-    /// Length of the whole body.
+    /// Length of the whole compressed body.
     pub total: u64,
     /// The part.
     pub bytes: Vec<u8>,
--- a/lib/src/protocol/instance.rs
+++ b/lib/src/protocol/instance.rs
@@ -12,13 +12,18 @@
 use crate::coordination::control::Sender;
 use crate::coordination::poison;
 use crate::protocol::store::Blob;
+use crate::state::compression;
 use crate::state::hlc::InvalidTimestamp;
 use crate::state::hlc::Timestamp;
 use crate::state::id::Fingerprint;
 
-/// The largest control message, in bytes. A record with 1,900 members has about 100 KB.
+/// The largest control message, in bytes, before compression.
 pub const MAX_MESSAGE_BYTES: u32 = 1024 * 1024;
 
+/// Messages from this size on, in bytes, are compressed. Smaller ones are digests and heartbeats,
+/// whose random ids compress by less than the processor time is worth.
+const COMPRESS_FROM: usize = 2048;
+
 /// The methods that an instance offers to other instances.
 #[rpc(client, server)]
 pub trait Instance {
@@ -42,6 +47,9 @@
     pub at: Box<str>,
     /// The sender and its message in postcard.
     pub content: Blob,
+    /// Whether the content is compressed.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub compressed: bool,
 }
 
 /// Is returned when an envelope cannot be opened.
@@ -53,6 +61,9 @@
     /// The content is no message.
     #[error("the message cannot be decoded: {0}")]
     Content(#[from] postcard::Error),
+    /// The content cannot be decompressed.
+    #[error("the message cannot be decompressed: {0}")]
+    Compression(#[from] compression::Error),
 }
 
 impl Envelope {
@@ -62,10 +73,13 @@
     ///
     /// Returns the codec's error, which does not occur for messages built by the control machine.
     pub fn new(at: Timestamp, sender: &Sender, message: &Message) -> Result<Self, InvalidEnvelope> {
-        let content = postcard::to_stdvec(&(sender, message))?;
+        let plain = postcard::to_stdvec(&(sender, message))?;
+        let packed = (plain.len() >= COMPRESS_FROM).then(|| compression::compress(&plain));
+        let packed = packed.filter(|packed| packed.len() < plain.len());
         Ok(Self {
             at: at.to_string().into(),
-            content: Blob(content),
+            compressed: packed.is_some(),
+            content: Blob(packed.unwrap_or(plain)),
         })
     }
 
@@ -76,7 +90,12 @@
     /// Returns an error when the envelope is malformed.
     pub fn open(&self) -> Result<(Timestamp, Sender, Message), InvalidEnvelope> {
         let at = self.at.parse()?;
-        let (sender, message) = postcard::from_bytes(&self.content.0)?;
+        let (sender, message) = if self.compressed {
+            let plain = compression::decompress(&self.content.0, MAX_MESSAGE_BYTES as usize)?;
+            postcard::from_bytes(&plain)?
+        } else {
+            postcard::from_bytes(&self.content.0)?
+        };
         Ok((at, sender, message))
     }
 }
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! Data shared by all layers: ids, sizes, time, the operators' file, the control record.
 
 pub mod assignment;
+pub mod compression;
 pub mod event;
 pub mod file;
 pub mod hlc;
--- a/lib/tests/gossip.rs
+++ b/lib/tests/gossip.rs
@@ -18,6 +18,9 @@
 use camphorhold::state::id::LeafId;
 use camphorhold::state::id::OperationId;
 use camphorhold::state::view::View;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use self::control_world::World;
 use self::control_world::file_text;
@@ -146,12 +149,20 @@
     assert!(all(&world, |view| view.drains.contains(&leaf)));
 }
 
+/// Returns a comment of random hexadecimal digits. It compresses to about half, so that a body with
+/// it still takes many parts.
+fn incompressible_comment(digits: usize) -> String {
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    let digits = (0..digits).map(|_| char::from(b"0123456789abcdef"[random.random_range(0..16)]));
+    format!("# {}\n", digits.collect::<String>())
+}
+
 /// Guards against a large file that is sent in one message, or is not in force in time.
 #[test]
 fn a_large_file_comes_in_parts_and_is_in_force_in_time() {
     let mut world = settled(7);
     let before = world.oracle.last_accepted();
-    let text = file_text(1) + &"# padding\n".repeat(20_000);
+    let text = file_text(1) + &incompressible_comment(160_000);
     world.apply_text(2, 1, None, text.clone());
     world.run(Duration::from_secs(5)).unwrap();
     assert!(all(&world, |view| view.generation() > before));
