--- a/bench/src/experiment/mod.rs
+++ b/bench/src/experiment/mod.rs
@@ -65,6 +65,10 @@
     /// The offered load, as a share of the slots of the service's leafs.
     #[arg(long, default_value_t = 0.5)]
     pub load: f64,
+    /// The light load between the warm-up and the measurement. Hedge delays follow the last 20 s,
+    /// so a shorter time measures them with the latencies of the cold start.
+    #[arg(long, default_value = "20s", value_parser = humantime::parse_duration)]
+    pub settle: Duration,
     /// Leaves out the baselines, in experiments that have them.
     #[arg(long)]
     pub without_baselines: bool,
@@ -108,11 +112,13 @@
             service_time,
             jitter,
             load,
+            settle,
             ..
         } = self;
         let settings = format!(
             "{}, {instances} instances, seed {seed}, {seconds} s, service time {service_time:?} \
-             to {:?}, load {load}",
+             to {:?}, load {load}, \
+             settled for {settle:?}",
             deployment.name(),
             *service_time + *jitter
         );
@@ -145,6 +151,8 @@
         if warm < leafs {
             println!("after {WARM_UP_LIMIT:?}, {warm} of {leafs} leafs are warm");
         }
+        let load = self.search_load(&tier, WARM_UP_LOAD)?;
+        load.run(self.settle).await;
         Ok(tier)
     }
 }
--- a/bench/src/experiment/once.rs
+++ b/bench/src/experiment/once.rs
@@ -36,13 +36,15 @@
 const DOUBLED: u64 = 5;
 
 /// The time from a start to the next kill, and from a kill to the next start.
-const UP_TIME: Duration = Duration::from_secs(3);
+const UP_TIME: Duration = Duration::from_secs(8);
 const DOWN_TIME: Duration = Duration::from_secs(1);
 
 /// What one caller saw of one key.
 struct Seen {
     key: String,
     outcomes: Vec<Outcome>,
+    /// Why the last attempt failed.
+    reason: Option<Box<str>>,
 }
 
 /// Runs the experiment.
@@ -75,13 +77,14 @@
         format!("{} keys, {kills} kills", seen.len()),
         &[
             "last outcome",
+            "reason",
             "keys",
             "executed 0 times",
             "once",
             "more than once",
         ],
     );
-    let mut last: BTreeMap<Outcome, [u64; 3]> = BTreeMap::new();
+    let mut last: BTreeMap<(Outcome, &str), [u64; 3]> = BTreeMap::new();
     let (mut doubled, mut untrue, mut unexecuted) = (0, 0, 0);
     for seen in &seen {
         let count = executions.get(&seen.key).copied().unwrap_or_default();
@@ -93,11 +96,12 @@
             continue;
         };
         let index = usize::try_from(count.min(2)).unwrap_or_default();
-        last.entry(*end).or_default()[index] += 1;
+        last.entry((*end, seen.reason.as_deref().unwrap_or_default()))
+            .or_default()[index] += 1;
     }
-    for (outcome, counts) in last {
+    for ((outcome, reason), counts) in last {
         let total: u64 = counts.iter().sum();
-        let mut row = vec![format!("{outcome:?}"), total.to_string()];
+        let mut row = vec![format!("{outcome:?}"), reason.to_owned(), total.to_string()];
         row.extend(counts.iter().map(ToString::to_string));
         table.row(row);
     }
@@ -154,9 +158,11 @@
 /// Sends a request until it is answered.
 async fn send(balancer: SocketAddr, request: RequestBody, number: u64) -> Seen {
     let mut outcomes = Vec::new();
+    let mut reason = None;
     while outcomes.len() < ATTEMPTS {
         let reply = caller::send_once(balancer, &request).await;
         outcomes.push(reply.outcome);
+        reason = reply.body.and_then(|body| body.reason);
         if reply.outcome == Outcome::Answered {
             if number.is_multiple_of(DOUBLED) && outcomes.len() < ATTEMPTS {
                 let again = caller::send_once(balancer, &request).await;
@@ -170,5 +176,6 @@
     Seen {
         key: key.unwrap_or_default(),
         outcomes,
+        reason,
     }
 }
