--- a/bench/src/experiment/mod.rs
+++ b/bench/src/experiment/mod.rs
@@ -69,6 +69,9 @@
     /// so a shorter time measures them with the latencies of the cold start.
     #[arg(long, default_value = "20s", value_parser = humantime::parse_duration)]
     pub settle: Duration,
+    /// The capacity, as a share of the slots, in place of a search for it.
+    #[arg(long)]
+    pub capacity: Option<f64>,
     /// Leaves out the baselines, in experiments that have them.
     #[arg(long)]
     pub without_baselines: bool,
--- a/bench/src/experiment/serve.rs
+++ b/bench/src/experiment/serve.rs
@@ -64,7 +64,10 @@
 pub async fn run(options: &Options) -> Result<(), Error> {
     let mut report = options.report("serve");
     let tier = options.warm_tier(&options.config()).await?;
-    let capacity = capacity(options, &tier, &mut report).await?;
+    let capacity = match options.capacity {
+        Some(capacity) => capacity,
+        None => search_capacity(options, &tier, &mut report).await?,
+    };
     let mut points = Vec::new();
     measure(
         options,
@@ -98,7 +101,11 @@
 }
 
 /// Raises the load step by step; returns the share of the nominal rate that was last served.
-async fn capacity(options: &Options, tier: &Tier, report: &mut Report) -> Result<f64, Error> {
+async fn search_capacity(
+    options: &Options,
+    tier: &Tier,
+    report: &mut Report,
+) -> Result<f64, Error> {
     let mut columns = vec!["share of slots", "requests/s"];
     columns.extend(SUMMARY_COLUMNS);
     let mut table = Table::new("Search for the capacity, without stragglers", &columns);
