--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -94,8 +94,11 @@
         }
     }
 
-    /// Prints a table and keeps it.
+    /// Prints a table that has rows and keeps it.
     pub fn table(&mut self, table: Table) {
+        if table.rows.is_empty() {
+            return;
+        }
         table.print();
         self.tables.push(table);
     }
