ownership: compare a leaf only with members of its failure domain

Cause: building the table compared each leaf's failure domain with that of every member, by text: 9,100 x 1,900 comparisons per generation.

Change: members are grouped by failure domain once per build. The owners are the same.

--- /dev/null
+++ b/lib/examples/control_costs/main.rs
@@ -0,0 +1,220 @@
+//! What a change costs one instance at the target's size, and what it sends.
+//!
+//! Prints the time of each step on the way of a change, with the size of what travels before and
+//! after compression, and the memory per leaf. Times are the lowest of several runs. Run with
+//! `cargo run --release -p camphorhold --example control_costs -- 1900 9100`.
+
+#[path = "../capacity_support/mod.rs"]
+mod capacity_support;
+
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use camphorhold::coordination::call::CallId;
+use camphorhold::coordination::dispatch;
+use camphorhold::coordination::ownership;
+use camphorhold::coordination::ownership::Handover;
+use camphorhold::coordination::replica;
+use camphorhold::coordination::warmth;
+use camphorhold::state::assignment;
+use camphorhold::state::compression::compress;
+use camphorhold::state::compression::decompress;
+use camphorhold::state::file;
+use camphorhold::state::file::ColdStart;
+use camphorhold::state::file::File;
+use camphorhold::state::id::InstanceId;
+use camphorhold::state::id::OperationId;
+use camphorhold::state::id::ShardId;
+use camphorhold::state::record::Candidate;
+use camphorhold::state::record::Record;
+use camphorhold::state::size::Connections;
+use camphorhold::state::size::Slots;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::capacity_support::DOMAINS;
+use self::capacity_support::file_text;
+
+const SEED: u64 = 42;
+
+/// Runs of each step.
+const RUNS: u32 = 5;
+
+/// Prints the shortest time of a step and returns its result.
+fn timed<T, F>(what: &str, mut step: F) -> T
+where
+    F: FnMut() -> T,
+{
+    let mut shortest = Duration::MAX;
+    let mut result = None;
+    for _ in 0..RUNS {
+        let started = Instant::now();
+        result = Some(black_box(step()));
+        shortest = shortest.min(started.elapsed());
+    }
+    println!("{what}: {:.3} ms", shortest.as_secs_f64() * 1e3);
+    result.expect("the step ran")
+}
+
+fn candidate(random: &mut ChaCha8Rng, number: usize) -> Candidate {
+    let [_, _, high, low] = u32::try_from(number).unwrap_or(0).to_be_bytes();
+    let address = |port| SocketAddr::from(([10, 200, high, low], port));
+    Candidate {
+        instance: InstanceId(random.random()),
+        address: address(7400),
+        traffic_address: address(7401),
+        failure_domain: DOMAINS[number % DOMAINS.len()].parse().expect("valid"),
+    }
+}
+
+fn main() {
+    let mut arguments = std::env::args()
+        .skip(1)
+        .filter_map(|text| text.parse().ok());
+    let instances: usize = arguments.next().unwrap_or(1900);
+    let leafs: usize = arguments.next().unwrap_or(9100);
+    println!("seed {SEED}, {instances} instances, {leafs} leafs, lowest of {RUNS} runs");
+    let text = file_text(leafs, usize::MAX);
+    let changed = file_text(leafs, leafs / 2);
+    let file = bodies(&text, &changed);
+    let record = records(instances, &text);
+    tables(&record, &file, leafs);
+    entry_memory(leafs);
+    owner_memory();
+}
+
+fn bodies(text: &str, changed: &str) -> File {
+    println!("file body: {} bytes", text.len());
+    let compressed = timed("compress the body", || compress(text.as_bytes()));
+    println!("compressed body: {} bytes", compressed.len());
+    let limit = 1024 * 1024;
+    timed("decompress the body", || decompress(&compressed, limit)).expect("it was compressed");
+    let old = timed("parse the body", || File::parse(text)).expect("the file is valid");
+    let new = File::parse(changed).expect("the file is valid");
+    let differences = timed("difference of two files", || file::difference(&old, &new));
+    println!("differences of one leaf: {}", differences.len());
+    let same = |(old, new): &(u8, u8)| old == new;
+    let prefix = text.bytes().zip(changed.bytes()).take_while(same).count();
+    let suffix = text.bytes().rev().zip(changed.bytes().rev());
+    let suffix = suffix.take_while(same).count();
+    println!(
+        "bytes between the common beginning and end of the two: {}",
+        changed.len().saturating_sub(prefix + suffix)
+    );
+    old
+}
+
+fn records(instances: usize, text: &str) -> Record {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let added: Vec<Candidate> = (0..instances)
+        .map(|number| candidate(&mut random, number))
+        .collect();
+    let record = Record::empty().with_file(OperationId(1), text);
+    let record = record.with_roster_change(OperationId(2), &added, &BTreeSet::new());
+    let postcard = timed("encode the record in postcard", || {
+        postcard::to_stdvec(&record)
+    });
+    let postcard = postcard.expect("records can be encoded");
+    let json = timed("encode the record in JSON", || serde_json::to_vec(&record));
+    let json = json.expect("records can be encoded");
+    let small = timed("compress the postcard", || compress(&postcard));
+    let small_json = timed("compress the JSON", || compress(&json));
+    timed("decode the postcard", || {
+        postcard::from_bytes::<Record>(&postcard)
+    })
+    .expect("a record");
+    println!(
+        "record: postcard {} bytes, compressed {}; JSON {} bytes, compressed {}",
+        postcard.len(),
+        small.len(),
+        json.len(),
+        small_json.len()
+    );
+    let one = candidate(&mut random, instances);
+    timed("add one member to the record", || {
+        record.with_roster_change(OperationId(3), std::slice::from_ref(&one), &BTreeSet::new())
+    });
+    record
+}
+
+fn tables(record: &Record, file: &File, leafs: usize) {
+    let now = Instant::now();
+    let handover = Handover {
+        wait: Duration::from_millis(3500),
+        check_releases: true,
+        check_continuity: true,
+    };
+    let me = record.roster[record.roster.len() / 2].instance;
+    let empty = assignment::Table::default();
+    let build = |record: &Record, previous: &assignment::Table| {
+        ownership::build(me, record, Some(file), previous, handover, now)
+    };
+    let mut table = None;
+    let info = allocation_counter::measure(|| table = Some(build(record, &empty)));
+    let table = table.expect("it was built");
+    println!("ownership table: {} bytes", info.bytes_current);
+    timed("ownership, first table", || build(record, &empty));
+    let next = record.with_revocation(
+        OperationId(4),
+        "service-0".parse().expect("valid"),
+        "v1".parse().expect("valid"),
+    );
+    let current = timed("ownership, same roster", || build(&next, &table));
+    let last = record.roster[0].instance;
+    let removed = BTreeSet::from([last]);
+    let next = next.with_roster_change(OperationId(5), &[], &removed);
+    let after = timed("ownership, one member removed", || build(&next, &current));
+    let moved = after.leafs().filter(|(_, leaf)| leaf.previous.is_some());
+    println!("leafs moved by one removal: {} of {leafs}", moved.count());
+    timed("releases", || ownership::releases(&current, &after, now));
+}
+
+fn entry_memory(leafs: usize) {
+    let shards: Vec<ShardId> = (0..leafs)
+        .map(|leaf| ShardId(u32::try_from(leaf / 2).unwrap_or(0)))
+        .collect();
+    let count = u32::try_from(leafs.div_ceil(2)).unwrap_or(u32::MAX);
+    let mut table = None;
+    let info = allocation_counter::measure(|| {
+        table = Some(replica::Table::new(count, &shards, Instant::now()));
+    });
+    println!(
+        "replica table of an entry instance: {} bytes",
+        info.bytes_current
+    );
+    timed("replica table, built anew", || {
+        replica::Table::new(count, &shards, Instant::now())
+    });
+    drop(table);
+}
+
+fn owner_memory() {
+    let policy = dispatch::Policy {
+        warmth: warmth::Policy {
+            cold_start: ColdStart {
+                concurrency: Slots(1),
+                duration: Duration::from_secs(2),
+                answers: 20,
+            },
+            slots: Slots(2),
+        },
+        connections: Connections(25),
+        deadline: Duration::from_millis(120),
+    };
+    let mut leaf = None;
+    let info = allocation_counter::measure(|| {
+        leaf = Some(dispatch::Leaf::new(policy));
+    });
+    println!(
+        "leaf state at its owner: {} bytes, {} of them on the heap; a queued or running call is \
+         named by {} bytes",
+        size_of::<dispatch::Leaf>() + usize::try_from(info.bytes_current).unwrap_or(0),
+        info.bytes_current,
+        size_of::<CallId>()
+    );
+    drop(leaf);
+}
--- a/lib/src/coordination/ownership.rs
+++ b/lib/src/coordination/ownership.rs
@@ -65,25 +65,35 @@
 
 type Listed<'a> = Vec<(InstanceId, &'a FailureDomain)>;
 
-/// Returns the owner among the instances: one in the leaf's own failure domain, if there is any.
-fn owner(leaf: &Leaf, listed: &[(InstanceId, &FailureDomain)]) -> Option<InstanceId> {
-    let hash = leaf_hash(leaf.id);
-    let near = listed
-        .iter()
-        .filter(|(_, domain)| **domain == leaf.failure_domain);
-    highest(hash, near.map(|(instance, _)| *instance))
-        .or_else(|| highest(hash, listed.iter().map(|(instance, _)| *instance)))
+/// Listed instances, by failure domain: a leaf is compared with those of its own domain only.
+struct Candidates<'a> {
+    all: Vec<InstanceId>,
+    domains: HashMap<&'a FailureDomain, Vec<InstanceId>>,
 }
 
-/// Like [`owner`], for a range of generations in which the leaf may have moved to another failure
-/// domain: returns an owner only if the domain makes no difference.
-fn owner_in_any_domain(leaf: &Leaf, listed: &[(InstanceId, &FailureDomain)]) -> Option<InstanceId> {
-    let near = owner(leaf, listed);
-    let any = highest(
-        leaf_hash(leaf.id),
-        listed.iter().map(|(instance, _)| *instance),
-    );
-    near.filter(|owner| Some(*owner) == any)
+impl<'a> Candidates<'a> {
+    fn new(listed: &[(InstanceId, &'a FailureDomain)]) -> Self {
+        let mut domains: HashMap<_, Vec<_>> = HashMap::new();
+        for (instance, domain) in listed {
+            domains.entry(*domain).or_default().push(*instance);
+        }
+        let all = listed.iter().map(|(instance, _)| *instance).collect();
+        Self { all, domains }
+    }
+
+    /// Returns the owner among the instances: one in the leaf's own failure domain, if there is any.
+    fn owner(&self, leaf: &Leaf) -> Option<InstanceId> {
+        let near = self.domains.get(&leaf.failure_domain);
+        let near = near.unwrap_or(&self.all);
+        highest(leaf_hash(leaf.id), near.iter().copied())
+    }
+
+    /// Like [`Self::owner`], for a range of generations in which the leaf may have moved to another
+    /// failure domain: returns an owner only if the domain makes no difference.
+    fn owner_in_any_domain(&self, leaf: &Leaf) -> Option<InstanceId> {
+        let any = highest(leaf_hash(leaf.id), self.all.iter().copied());
+        self.owner(leaf).filter(|owner| Some(*owner) == any)
+    }
 }
 
 fn leaf_hash(leaf: LeafId) -> u64 {
@@ -106,10 +116,12 @@
         .map(|member| (member.instance, &member.failure_domain))
         .collect();
     let between = continuity(instance, record, previous);
+    let candidates = Candidates::new(&roster);
+    let sole_candidates = between.as_deref().map(Candidates::new);
     let revision = record.file.map_or(Revision(0), |file| file.revision);
     let mut leafs = HashMap::new();
     for (_, _, leaf) in file.iter().flat_map(|file| file.leafs()) {
-        let Some(owner) = owner(leaf, &roster) else {
+        let Some(owner) = candidates.owner(leaf) else {
             continue;
         };
         let before = previous.leafs.get(&leaf.id);
@@ -117,11 +129,11 @@
         let domain_kept = revision.0 <= previous.revision.0 + 1
             && before.is_some_and(|before| before.domain_hash == domain_hash);
         let inherited = before.and_then(|before| before.ready_at).filter(|_| {
-            let sole = between.as_deref().and_then(|listed| {
+            let sole = sole_candidates.as_ref().and_then(|listed| {
                 if domain_kept {
-                    self::owner(leaf, listed)
+                    listed.owner(leaf)
                 } else {
-                    owner_in_any_domain(leaf, listed)
+                    listed.owner_in_any_domain(leaf)
                 }
             });
             sole == Some(instance) || !handover.check_continuity
@@ -221,14 +233,14 @@
     if release.held_at > last || !listed_until(record, release.instance, last) {
         return None;
     }
-    let listed = record.listed_between(release.held_at, last)?;
+    let listed = Candidates::new(&record.listed_between(release.held_at, last)?);
     let mut next = None;
     for (_, _, leaf) in file.leafs() {
         let waiting = table.leafs.get(&leaf.id);
         let waiting = waiting.is_some_and(|leaf| leaf.ready_at.is_some_and(|at| at > now));
         if waiting
             && release.leafs.contains(&leaf.id)
-            && (owner(leaf, &listed) == Some(release.instance) || !handover.check_releases)
+            && (listed.owner(leaf) == Some(release.instance) || !handover.check_releases)
         {
             let next = next.get_or_insert_with(|| table.clone());
             if let Some(assignment) = next.leafs.get_mut(&leaf.id) {
