control: count witnesses that the platform no longer lists as ended

Cause: `Membership::gone` counted a witness as ended only if another process answered at its address, or if no witness at all had been in sight. With a majority of the witnesses ended for good and back at new addresses, the survivors could change nothing any more. The rule for the case of no witness in sight also held if the platform's list had never been read.

Change: a witness also counts as ended if it has not been in sight for the bootstrap wait and is not on the list, provided that the list has been read for that long without a gap and with this instance on it. The rule for the case of no witness in sight is now the same one. `membership/sight.rs` states the assumption about the platform.

proposal: leave out changes that the record holds already

Cause: a kill cost two generations because two members proposed the same removal: one whose suspicion came late proposed it again while the first proposal was under way. Ruled out: one member proposing twice, which the idle check and the record learned with the acceptance prevent. A candidate that has departed since it asked is no longer added under its old id. A file always makes a generation, because an operator's repeated request must be found among the operations.

--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -205,7 +205,8 @@
             Input::Message { from, message } => self.on_message(from, message, now, actions),
             Input::InstanceList(addresses) => {
                 let record = &self.known.record;
-                self.membership.on_instance_list(addresses, record, now);
+                self.membership
+                    .on_instance_list(addresses, record, &self.me, now);
             }
             Input::FactObserved(fact) => self.on_fact(fact, now, wall, actions),
             Input::Shutdown => {
--- a/lib/src/coordination/control/settings.rs
+++ b/lib/src/coordination/control/settings.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use crate::coordination::membership;
+use crate::coordination::membership::ListRules;
 use crate::coordination::ownership::Handover;
 use crate::coordination::proposal;
+use crate::coordination::proposal::BrokenRule;
 use crate::state::id::FailureDomain;
 
 /// Settings of one instance. The times are the same in the whole deployment.
@@ -37,7 +39,8 @@
     pub suspicion: Duration,
     /// How much longer each further rank waits with that.
     pub rank_delay: Duration,
-    /// How long no witness must be in sight before the roster is replaced without them.
+    /// How long a witness must be out of sight and off the platform's list before it counts as
+    /// ended.
     pub bootstrap_wait: Duration,
     /// Bytes of facts and file body per message.
     pub exchange_bytes: usize,
@@ -77,6 +80,20 @@
     NoRejoin,
     /// The generation rises by two.
     GenerationsSkipped,
+    /// The platform's list never proves that a witness has ended.
+    ListIgnored,
+    /// A list of the platform that was not read proves that witnesses have ended.
+    UnreadListTrusted,
+    /// A list of the platform without this instance on it is trusted.
+    ListWithoutSelfTrusted,
+    /// A single read of the platform's list is trusted.
+    ListGapsIgnored,
+    /// A change that the record holds already makes another generation.
+    RepeatsWritten,
+    /// A lost answer to a compare-and-swap counts as accepted.
+    LostAnswersTrusted,
+    /// A rollout moves to a stage whatever stage it is at.
+    StagesUnchecked,
 }
 
 impl Settings {
@@ -120,8 +137,14 @@
             store: self.store_timeout,
             announce: self.announce_timeout,
             resolve: self.poll_interval,
-            ask_witnesses: self.mutation != Mutation::NoPromises,
-            check_operations: self.mutation != Mutation::OperationsIgnored,
+            broken: match self.mutation {
+                Mutation::NoPromises => Some(BrokenRule::NoPromises),
+                Mutation::OperationsIgnored => Some(BrokenRule::OperationsIgnored),
+                Mutation::RepeatsWritten => Some(BrokenRule::RepeatsWritten),
+                Mutation::LostAnswersTrusted => Some(BrokenRule::LostAnswersTrusted),
+                Mutation::StagesUnchecked => Some(BrokenRule::StagesUnchecked),
+                _ => None,
+            },
         }
     }
 
@@ -133,6 +156,13 @@
             rank_delay: self.rank_delay,
             bootstrap_wait: self.bootstrap_wait,
             currency_bound: self.currency_bound,
+            list_rules: match self.mutation {
+                Mutation::ListIgnored => ListRules::Ignored,
+                Mutation::UnreadListTrusted => ListRules::Unread,
+                Mutation::ListWithoutSelfTrusted => ListRules::WithoutSelf,
+                Mutation::ListGapsIgnored => ListRules::Gaps,
+                _ => ListRules::All,
+            },
         }
     }
 }
--- a/lib/src/coordination/membership.rs
+++ b/lib/src/coordination/membership.rs
@@ -1,6 +1,9 @@
 //! Failure detection in the manner of SWIM, and requests to join and leave the roster.
 //!
 //! Detection hands over nothing by itself: it only leads to a proposal to change the roster.
+//! [`sight`] holds the assumption about the platform's list that counting ended witnesses rests on.
+
+mod sight;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,6 +16,9 @@
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 
+#[doc(hidden)]
+pub use self::sight::ListRules;
+use self::sight::Sight;
 use crate::state::id::InstanceId;
 use crate::state::record::Candidate;
 use crate::state::record::Member;
@@ -42,10 +48,14 @@
     pub suspicion: Duration,
     /// How much longer each further rank waits.
     pub rank_delay: Duration,
-    /// How long every witness must be out of sight before the roster is replaced without them.
+    /// How long a witness must be out of sight, and off the platform's list, before it needs no
+    /// promise.
     pub bootstrap_wait: Duration,
     /// How long a witness must be known to have ended before it needs no promise.
     pub currency_bound: Duration,
+    /// Breaks a rule on purpose.
+    #[doc(hidden)]
+    pub list_rules: ListRules,
 }
 
 #[derive(Clone, Debug)]
@@ -78,10 +88,7 @@
     exchanges: u64,
     probes: BTreeMap<u64, Probe>,
     suspected: BTreeMap<InstanceId, Instant>,
-    /// Witnesses whose address was answered by a later process, and when that was first seen.
-    replaced: BTreeMap<InstanceId, Instant>,
-    last_seen: BTreeMap<InstanceId, Instant>,
-    listed: BTreeSet<SocketAddr>,
+    sight: Sight,
     candidates: BTreeMap<InstanceId, (Candidate, Instant)>,
     leavers: BTreeSet<InstanceId>,
 }
@@ -98,9 +105,7 @@
             exchanges: first_exchange,
             probes: BTreeMap::new(),
             suspected: BTreeMap::new(),
-            replaced: BTreeMap::new(),
-            last_seen: BTreeMap::new(),
-            listed: BTreeSet::new(),
+            sight: Sight::default(),
             candidates: BTreeMap::new(),
             leavers: BTreeSet::new(),
         }
@@ -110,16 +115,9 @@
     pub fn on_record(&mut self, record: &Record, me: &Candidate, now: Instant) {
         let listed = |instance: &InstanceId| record.member(*instance).is_some();
         self.suspected.retain(|instance, _| listed(instance));
-        self.replaced.retain(|instance, _| listed(instance));
-        self.last_seen.retain(|instance, _| listed(instance));
         self.leavers.retain(listed);
         self.candidates.retain(|instance, _| !listed(instance));
-        for member in &record.roster {
-            self.last_seen.entry(member.instance).or_insert(now);
-            if member.address == me.address && member.instance != me.instance {
-                self.replaced.entry(member.instance).or_insert(now);
-            }
-        }
+        self.sight.on_record(record, me, now);
     }
 
     /// Chooses the peer of the next exchange: shuffled round robin over the roster, now and then
@@ -203,7 +201,7 @@
         me: &Candidate,
         random: &mut ChaCha8Rng,
     ) -> Option<SocketAddr> {
-        let listed = self.listed.iter().copied();
+        let listed = self.sight.listed().iter().copied();
         let outside = listed.filter(|address| {
             let inside = record.roster.iter().any(|one| one.address == *address);
             *address != me.address && !inside
@@ -216,28 +214,17 @@
         &mut self,
         listed: BTreeSet<SocketAddr>,
         record: &Record,
+        me: &Candidate,
         now: Instant,
     ) {
-        self.listed = listed;
-        self.note_listed(record, now);
-    }
-
-    /// Counts a witness on the list as seen, unless its process is known to have been replaced.
-    fn note_listed(&mut self, record: &Record, now: Instant) {
-        for witness in record.witnesses() {
-            let replaced = self.replaced.contains_key(&witness.instance);
-            if !replaced && self.listed.contains(&witness.address) {
-                self.last_seen.insert(witness.instance, now);
-            }
-        }
+        self.sight.on_list(listed, me, self.limits.list_rules, now);
+        self.sight.note_listed(record, now);
     }
 
     /// Notes that a message of the instance arrived.
     pub fn on_contact(&mut self, instance: InstanceId, now: Instant) {
         self.suspected.remove(&instance);
-        if let Some(seen) = self.last_seen.get_mut(&instance) {
-            *seen = now;
-        }
+        self.sight.on_contact(instance, now);
     }
 
     /// Takes the answer to an exchange and returns when its request was sent. An answer of another
@@ -247,9 +234,9 @@
         let probe = self.probes.remove(&exchange)?;
         if let Some(instance) = probe.instance
             && instance != from
-            && self.last_seen.contains_key(&instance)
+            && self.sight.is_member(instance)
         {
-            self.replaced.entry(instance).or_insert(now);
+            self.sight.on_replaced(instance, now);
             self.suspected.entry(instance).or_insert(now);
         }
         Some(probe.sent)
@@ -291,7 +278,7 @@
 
     /// Notes a request to leave.
     pub fn on_leave(&mut self, instance: InstanceId) {
-        if self.last_seen.contains_key(&instance) {
+        if self.sight.is_member(instance) {
             self.leavers.insert(instance);
         }
     }
@@ -304,7 +291,7 @@
         now: Instant,
         random: &mut ChaCha8Rng,
     ) -> Vec<Request> {
-        self.note_listed(record, now);
+        self.sight.note_listed(record, now);
         self.candidates.retain(|_, (_, until)| now < *until);
         let mut requests = Vec::new();
         let mut silent = Vec::new();
@@ -374,24 +361,10 @@
         (!others.is_empty()).then(|| others[attempt % others.len()])
     }
 
-    /// Returns the witnesses that have certainly ended for longer than the currency bound, or all
-    /// witnesses if none has been in sight for the bootstrap wait.
+    /// Returns the witnesses that have certainly ended, by the rules of [`sight`].
     #[must_use]
     pub fn gone(&self, record: &Record, now: Instant) -> BTreeSet<InstanceId> {
-        let ended = |witness: &Member| {
-            let since = self.replaced.get(&witness.instance);
-            // The factor covers clocks whose rates differ by 1 %.
-            since.is_some_and(|since| *since + self.limits.currency_bound.mul_f64(1.02) <= now)
-        };
-        let hidden = |witness: &Member| {
-            let seen = self.last_seen.get(&witness.instance);
-            seen.is_some_and(|seen| *seen + self.limits.bootstrap_wait <= now)
-        };
-        if record.witnesses().all(|one| ended(one) || hidden(one)) {
-            return record.witnesses().map(|one| one.instance).collect();
-        }
-        let ended = record.witnesses().filter(|one| ended(one));
-        ended.map(|one| one.instance).collect()
+        self.sight.gone(record, &self.limits, now)
     }
 
     /// Returns the instances that are suspected.
--- a/lib/src/coordination/proposal/change.rs
+++ b/lib/src/coordination/proposal/change.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use crate::coordination::proposal::BrokenRule;
 use crate::coordination::proposal::Error;
+use crate::coordination::proposal::Limits;
 use crate::state::id::InstanceId;
 use crate::state::id::OperationId;
 use crate::state::id::Revision;
@@ -58,13 +60,21 @@
         }
     }
 
-    /// Applies the change, or tells why it does not fit the record.
+    /// Applies the change, or tells why it does not fit the record. Returns `None` if the record
+    /// holds it already: several instances propose the same change of the roster when they notice
+    /// the same failure, and only the first one should make a generation. A file always makes one,
+    /// because an operator's repeated request must be found among the operations; else it would
+    /// replace a file that was accepted in between.
     pub(crate) fn apply(
         &mut self,
         operation: OperationId,
         record: &Record,
-    ) -> Result<Record, Error> {
-        match self {
+        limits: &Limits,
+    ) -> Result<Option<Record>, Error> {
+        if limits.drops_repeats() && self.is_held_by(record) {
+            return Ok(None);
+        }
+        let next = match self {
             Self::File { text, expected } => {
                 let found = record.file.map_or(Revision(0), |file| file.revision);
                 // Without an expectation, the first record read is what the operator replaces.
@@ -72,24 +82,65 @@
                 if expected != found {
                     return Err(Error::RevisionMismatch { expected, found });
                 }
-                Ok(record.with_file(operation, text))
+                record.with_file(operation, text)
             }
             Self::Roster { added, removed } => {
-                Ok(record.with_roster_change(operation, added, removed))
+                let added = new_members(added, record);
+                record.with_roster_change(operation, &added, removed)
             }
             Self::Rollout {
                 rollout,
                 expected,
                 stage,
             } => {
-                if record.rollouts.get(rollout) != expected.as_ref() {
+                let moved = record.rollouts.get(rollout) != expected.as_ref();
+                if moved && !limits.breaks(BrokenRule::StagesUnchecked) {
                     return Err(Error::StageMismatch);
                 }
-                Ok(record.with_rollout_stage(operation, rollout.clone(), stage.clone()))
+                record.with_rollout_stage(operation, rollout.clone(), stage.clone())
             }
             Self::Revocation { service, version } => {
-                Ok(record.with_revocation(operation, service.clone(), version.clone()))
+                record.with_revocation(operation, service.clone(), version.clone())
+            }
+        };
+        Ok(Some(next))
+    }
+
+    fn is_held_by(&self, record: &Record) -> bool {
+        match self {
+            Self::File { .. } => false,
+            Self::Roster { added, removed } => {
+                let mut removed = removed.iter();
+                new_members(added, record).is_empty()
+                    && removed.all(|instance| record.member(*instance).is_none())
+            }
+            Self::Rollout {
+                rollout,
+                expected,
+                stage,
+            } => {
+                let found = record.rollouts.get(rollout);
+                found == expected.as_ref() && found == Some(stage)
+            }
+            Self::Revocation { service, version } => {
+                let revoked = (service.clone(), version.clone());
+                record.revocations.contains(&revoked)
             }
         }
     }
 }
+
+/// Returns the candidates that are not members. One that has departed since it asked is left out,
+/// because an id never returns.
+fn new_members(added: &[Candidate], record: &Record) -> Vec<Candidate> {
+    let departed = |instance| {
+        record
+            .departures
+            .iter()
+            .any(|left| left.instance == instance)
+    };
+    let new = added
+        .iter()
+        .filter(|one| record.member(one.instance).is_none() && !departed(one.instance));
+    new.cloned().collect()
+}
