--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod deployment;
 mod error;
 mod experiment;
+mod instance;
 mod load;
 mod process;
 mod report;
--- a/bench/src/tier.rs
+++ b/bench/src/tier.rs
@@ -5,11 +5,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use camphorhold::protocol::control::ApplyAnswer;
 use camphorhold::protocol::control::ApplyRequest;
 use camphorhold::protocol::control::ControlClient;
-use camphorhold::protocol::control::InstanceStatus;
 use camphorhold::protocol::control::Refusal;
 use camphorhold::protocol::control::Temperature;
 use camphorhold::state::id::Generation;
@@ -18,10 +16,6 @@
 use camphorhold_testutils::backend::Counters;
 use camphorhold_testutils::client;
 use camphorhold_testutils::store;
-use http_body_util::BodyExt;
-use hyper::Method;
-use jsonrpsee::http_client::HttpClient;
-use jsonrpsee::http_client::HttpClientBuilder;
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
@@ -30,22 +24,15 @@
 use crate::deployment::Deployment;
 use crate::deployment::File;
 use crate::deployment::LEAF_PORTS;
-use crate::deployment::loopback;
 use crate::error::Error;
+use crate::instance;
+use crate::instance::ADMIN_OFFSET;
+use crate::instance::Instance;
+use crate::instance::PATIENCE;
+use crate::instance::POLL;
+use crate::instance::PORTS_PER_INSTANCE;
 use crate::process::Process;
 
-/// Listeners of one instance.
-const PORTS_PER_INSTANCE: u16 = 4;
-
-/// The distance from the port for callers to the port for probes.
-const ADMIN_OFFSET: u16 = 3;
-
-/// Time for a start, a change or a warm-up. Generous, because other work shares the machine.
-const PATIENCE: Duration = Duration::from_secs(40);
-
-/// How often conditions are looked at.
-const POLL: Duration = Duration::from_millis(20);
-
 /// The longest shutdown of an instance, by the design.
 pub const SHUTDOWN_BOUND: Duration = Duration::from_secs(30);
 
@@ -68,20 +55,6 @@
     pub seed: u64,
 }
 
-/// One instance.
-pub struct Instance {
-    /// The running process.
-    pub process: Process,
-    /// Where callers send requests.
-    pub callers: SocketAddr,
-    /// Where control messages go.
-    pub control: SocketAddr,
-    /// Where probes go.
-    pub admin: SocketAddr,
-    arguments: Vec<String>,
-    log: PathBuf,
-}
-
 /// A running tier. Dropping it ends all its processes.
 pub struct Tier {
     /// The instances.
@@ -99,73 +72,6 @@
     directory: PathBuf,
 }
 
-impl Instance {
-    fn start(arguments: Vec<String>, first: u16, log: PathBuf) -> Result<Self, Error> {
-        let process = Process::spawn("camphorholdd", &arguments, &log)?;
-        Ok(Self {
-            process,
-            callers: loopback(first),
-            control: loopback(first + 2),
-            admin: loopback(first + ADMIN_OFFSET),
-            arguments,
-            log,
-        })
-    }
-
-    /// Starts the process again with the same settings.
-    pub fn restart(&mut self) -> Result<(), Error> {
-        self.process = Process::spawn("camphorholdd", &self.arguments, &self.log)?;
-        Ok(())
-    }
-
-    /// Tells whether the instance answers that it is ready.
-    pub async fn is_ready(&self) -> bool {
-        matches!(client::status(self.admin, "/readyz").await, Ok(200))
-    }
-
-    /// Waits until the instance is ready.
-    pub async fn ready(&self) -> Result<(), Error> {
-        let started = Instant::now();
-        while started.elapsed() < PATIENCE {
-            if self.is_ready().await {
-                return Ok(());
-            }
-            tokio::time::sleep(POLL).await;
-        }
-        let what = "the readiness of an instance";
-        Err(Error::TimedOut {
-            what,
-            limit: PATIENCE,
-        })
-    }
-
-    /// Returns a client for control messages.
-    pub fn client(&self) -> Result<HttpClient, Error> {
-        let url = format!("http://{}", self.control);
-        Ok(HttpClientBuilder::default().build(url)?)
-    }
-
-    /// Asks for the state of the instance.
-    pub async fn status(&self) -> Result<InstanceStatus, Error> {
-        Ok(self.client()?.status().await?)
-    }
-
-    /// Reads a counter, summed over its labels.
-    pub async fn metric(&self, name: &str) -> Result<f64, Error> {
-        let mut connection = client::Connection::open(self.admin).await?;
-        let response = connection.send(Method::GET, "/metrics", Bytes::new());
-        let body = response.await?.into_body().collect().await;
-        let body = body.map_err(client::Error::Unanswered)?.to_bytes();
-        let text = String::from_utf8_lossy(&body);
-        let values = text.lines().filter_map(|line| {
-            let rest = line.strip_prefix(name)?;
-            let own = rest.starts_with([' ', '{']);
-            own.then(|| rest.rsplit(' ').next()?.parse::<f64>().ok())?
-        });
-        Ok(values.sum())
-    }
-}
-
 impl Tier {
     /// Starts everything, applies the deployment's file and waits until all instances are ready.
     pub async fn start(config: &Config) -> Result<Self, Error> {
@@ -188,7 +94,7 @@
         for index in 0..config.instances {
             let port = first + LEAF_PORTS + index * PORTS_PER_INSTANCE;
             let domain = &domains[usize::from(index) % domains.len()];
-            let mut arguments = instance_arguments(port, domain.as_str());
+            let mut arguments = instance::arguments(port, domain.as_str());
             let more = [
                 ("--store", store_address),
                 ("--instance-list", list_address),
@@ -385,24 +291,6 @@
         .collect()
 }
 
-fn instance_arguments(first: u16, domain: &str) -> Vec<String> {
-    let flags = [
-        "--caller-address",
-        "--peer-address",
-        "--control-address",
-        "--admin-address",
-    ];
-    let addresses = (first..).map(|port| loopback(port).to_string());
-    let listeners = flags.into_iter().zip(addresses);
-    let rest = [
-        ("--failure-domain", domain.to_owned()),
-        ("--log", "warn".to_owned()),
-    ];
-    let all = listeners.chain(rest);
-    all.flat_map(|(flag, value)| [flag.to_owned(), value])
-        .collect()
-}
-
 fn run_directory(first: u16) -> Result<PathBuf, Error> {
     let directory = std::env::current_exe()?.with_file_name("bench-runs");
     let directory = directory.join(format!("{}-{first}", std::process::id()));
