--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -14,15 +14,13 @@
 
 use crate::error::Error;
 
-/// Ports of one run: the first [`LEAF_PORTS`] for leafs, the rest for instances.
-pub const BLOCK_PORTS: u16 = 600;
+/// Ports are taken below the range that the system hands out to clients.
+const FIRST_PORT: u16 = 10_000;
+const LAST_PORT: u16 = 32_000;
 
-/// The ports of leafs in the example files lie in a range of this size.
-pub const LEAF_PORTS: u16 = 400;
-
-/// Blocks lie below the range of ports that the system hands out to clients.
-const FIRST_BLOCK: u16 = 10_000;
-const BLOCKS: u16 = 36;
+/// Runs at the same time start their search for free ports at this distance or a multiple of it.
+const RUN_DISTANCE: u16 = 600;
+const RUN_DISTANCES: u16 = 36;
 
 /// One of the two shipped deployments.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -83,26 +81,21 @@
         }
     }
 
-    fn text(self) -> (&'static str, u16) {
+    fn text(self) -> &'static str {
         match self {
-            Self::Almisse => (include_str!("../../examples/almisse.toml"), 21_000),
-            Self::Sarro => (include_str!("../../examples/sarro.toml"), 23_000),
+            Self::Almisse => include_str!("../../examples/almisse.toml"),
+            Self::Sarro => include_str!("../../examples/sarro.toml"),
         }
     }
 
-    /// Returns the file with its leafs moved to the block of ports at `first`.
-    pub fn file(self, first: u16) -> Result<File, Error> {
-        let (text, base) = self.text();
-        let mut document: DocumentMut = text
+    /// Returns the file with its leafs moved to free ports.
+    pub fn file(self, ports: &mut Ports) -> Result<File, Error> {
+        let mut document: DocumentMut = self
+            .text()
             .parse()
             .map_err(|error: toml_edit::TomlError| Error::File(error.to_string()))?;
         for leaf in leaf_tables(&mut document) {
-            let address = leaf.get("address").and_then(toml_edit::Value::as_str);
-            let address: Option<SocketAddr> = address.and_then(|text| text.parse().ok());
-            let offset = address.and_then(|address| address.port().checked_sub(base));
-            let offset = offset.filter(|offset| *offset < LEAF_PORTS);
-            let offset = offset.ok_or_else(|| Error::File("a leaf's port".into()))?;
-            leaf.insert("address", loopback(first + offset).to_string().into());
+            leaf.insert("address", loopback(ports.take(1)?).to_string().into());
         }
         Ok(File { document })
     }
@@ -204,17 +197,42 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
-/// Finds a block of ports of which none is listened on.
-pub fn free_block() -> Result<u16, Error> {
-    let start = u16::try_from(std::process::id() % u32::from(BLOCKS)).unwrap_or_default();
-    let blocks = (0..BLOCKS).map(|turn| FIRST_BLOCK + (start + turn) % BLOCKS * BLOCK_PORTS);
-    let free = |first: &u16| {
-        (*first..first + BLOCK_PORTS).all(|port| TcpListener::bind(loopback(port)).is_ok())
-    };
-    blocks
-        .into_iter()
-        .find(free)
-        .ok_or(Error::NoPorts(BLOCK_PORTS))
+/// Hands out ports of loopback that are not listened on.
+pub struct Ports {
+    next: u16,
+    left: u16,
+}
+
+impl Ports {
+    /// Starts at a port that depends on the id of this process.
+    pub fn new() -> Self {
+        let distances = std::process::id() % u32::from(RUN_DISTANCES);
+        let distances = u16::try_from(distances).unwrap_or_default();
+        Self {
+            next: FIRST_PORT + distances * RUN_DISTANCE,
+            left: LAST_PORT - FIRST_PORT,
+        }
+    }
+
+    /// Returns the first of so many free ports in a row.
+    pub fn take(&mut self, count: u16) -> Result<u16, Error> {
+        while self.left > 0 {
+            if self.next > LAST_PORT - count {
+                self.next = FIRST_PORT;
+            }
+            let first = self.next;
+            let ports = first..first + count;
+            let taken = ports
+                .into_iter()
+                .find(|port| TcpListener::bind(loopback(*port)).is_err());
+            self.next = taken.map_or(first + count, |taken| taken + 1);
+            self.left = self.left.saturating_sub(self.next - first);
+            if taken.is_none() {
+                return Ok(first);
+            }
+        }
+        Err(Error::NoPorts(count))
+    }
 }
 
 fn leaf_tables(document: &mut DocumentMut) -> Vec<&mut toml_edit::InlineTable> {
--- a/bench/src/error.rs
+++ b/bench/src/error.rs
@@ -49,8 +49,8 @@
         /// How long.
         limit: Duration,
     },
-    /// No block of ports is free.
-    #[error("no block of {0} ports is free on loopback")]
+    /// No ports are free.
+    #[error("no {0} ports in a row are free on loopback")]
     NoPorts(u16),
     /// Calls on the query path between instances failed.
     #[error("peer path: {0}")]
--- a/bench/src/experiment/mod.rs
+++ b/bench/src/experiment/mod.rs
@@ -75,6 +75,9 @@
     /// Leaves out the baselines, in experiments that have them.
     #[arg(long)]
     pub without_baselines: bool,
+    /// Runs only these baselines; may be repeated.
+    #[arg(long = "baseline")]
+    pub baselines: Vec<String>,
     /// A file for the results, in JSON.
     #[arg(long)]
     pub json: Option<PathBuf>,
--- a/bench/src/experiment/serve.rs
+++ b/bench/src/experiment/serve.rs
@@ -84,8 +84,13 @@
     } else {
         BASELINES.as_slice()
     };
+    let chosen = |name: &&&str| {
+        let chosen = &options.baselines;
+        chosen.is_empty() || chosen.iter().any(|other| other == **name)
+    };
     let baselines = baselines
         .iter()
+        .filter(chosen)
         .flat_map(|name| [(*name, false), (*name, true)]);
     for variant in variants.chain(baselines) {
         let mut config = options.config();
--- a/bench/src/tier.rs
+++ b/bench/src/tier.rs
@@ -20,10 +20,9 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::deployment;
 use crate::deployment::Deployment;
 use crate::deployment::File;
-use crate::deployment::LEAF_PORTS;
+use crate::deployment::Ports;
 use crate::error::Error;
 use crate::instance;
 use crate::instance::ADMIN_OFFSET;
@@ -75,9 +74,9 @@
 impl Tier {
     /// Starts everything, applies the deployment's file and waits until all instances are ready.
     pub async fn start(config: &Config) -> Result<Self, Error> {
-        let first = deployment::free_block()?;
-        let directory = run_directory(first)?;
-        let file = config.deployment.file(first)?;
+        let mut ports = Ports::new();
+        let file = config.deployment.file(&mut ports)?;
+        let directory = run_directory()?;
         let file_path = directory.join("file.toml");
         std::fs::write(&file_path, file.text())?;
         let log = directory.join("standins.log");
@@ -92,7 +91,7 @@
         let domains = file.domains()?;
         let mut instances = Vec::new();
         for index in 0..config.instances {
-            let port = first + LEAF_PORTS + index * PORTS_PER_INSTANCE;
+            let port = ports.take(PORTS_PER_INSTANCE)?;
             let domain = &domains[usize::from(index) % domains.len()];
             let mut arguments = instance::arguments(port, domain.as_str());
             let more = [
@@ -291,9 +290,9 @@
         .collect()
 }
 
-fn run_directory(first: u16) -> Result<PathBuf, Error> {
+fn run_directory() -> Result<PathBuf, Error> {
     let directory = std::env::current_exe()?.with_file_name("bench-runs");
-    let directory = directory.join(format!("{}-{first}", std::process::id()));
+    let directory = directory.join(std::process::id().to_string());
     std::fs::create_dir_all(&directory)?;
     Ok(directory)
 }
