control: send releases before an instance has left, and repeat them

Cause: an instance that left published `Phase::Left` before its releases were handed to the transport, so the daemon could end the process first, and a release that was lost stayed lost. The new owners then waited the whole handover wait.

A release counts also at an instance that skipped its generation, if that instance was the only possible owner since; after a leave that is followed by a join, it waited the whole time before.

--- a/lib/src/coordination/control.rs
+++ b/lib/src/coordination/control.rs
@@ -6,7 +6,9 @@
 
 mod apply;
 mod exchange;
+mod leave;
 mod message;
+mod roster;
 mod settings;
 mod store;
 
@@ -20,6 +22,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use self::apply::Body;
+use self::leave::Handover;
 pub use self::message::Action;
 pub use self::message::BodyPart;
 pub use self::message::BodyRequest;
@@ -83,6 +86,7 @@
     table: Arc<Table>,
     /// Releases for generations that are not applied yet.
     early_releases: Vec<Release>,
+    handover: Handover,
     evidence: Evidence,
     heartbeats: u64,
     promises: Promises,
@@ -124,6 +128,7 @@
             file: None,
             body: Body::default(),
             early_releases: Vec::new(),
+            handover: Handover::default(),
             evidence: Evidence::default(),
             heartbeats: 0,
             promises: Promises::default(),
@@ -170,6 +175,7 @@
     pub fn next_wakeup(&self) -> Instant {
         let fixed = [self.next_gossip, self.next_tick, self.reads.next_poll];
         let fixed = fixed.into_iter().chain(self.proposer.next_wakeup());
+        let fixed = fixed.chain(self.handover.next_wakeup());
         fixed.min().unwrap_or(self.next_tick)
     }
 
@@ -249,9 +255,12 @@
             self.next_gossip = now + JOIN_INTERVAL;
         }
         self.poll(now, actions);
+        self.go_on_leaving(now, actions);
         if now >= self.next_tick {
             self.next_tick = now + TICK_INTERVAL;
-            self.facts_changed |= self.facts.expire(self.me.instance, now);
+            if self.settings.mutation != Mutation::FactsKept {
+                self.facts_changed |= self.facts.expire(self.me.instance, now);
+            }
             self.detect_failures(now, actions);
             self.change_roster(now, actions);
         }
@@ -286,64 +295,6 @@
         self.proposer.set_gone(gone);
     }
 
-    /// Proposes the additions and removals that are due.
-    fn change_roster(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if !self.proposer.idle() || self.phase == Phase::Left {
-            return;
-        }
-        let record = &self.known.record;
-        let change = self.membership.roster_change(record, self.me.instance, now);
-        if let Some((added, removed)) = change {
-            let operation = OperationId(self.random.random());
-            self.submit(operation, Change::Roster { added, removed }, now, actions);
-        }
-    }
-
-    /// Asks a member to add or remove this instance, or does it alone if there is no member.
-    fn ask_for_roster_change(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let record = &self.known.record;
-        let leaving = self.phase == Phase::Leaving;
-        let removed =
-            self.applied.generation.0 > 0 && self.applied.member(self.me.instance).is_none();
-        let silent = self.settings.mutation == Mutation::NoRejoin && removed;
-        if (!leaving && self.phase != Phase::Joining) || silent {
-            return;
-        }
-        let gone = self.membership.gone(record, now);
-        let deserted = record.witnesses().all(|one| gone.contains(&one.instance));
-        let sponsor = self
-            .membership
-            .sponsor(record, &self.me, self.join_attempts);
-        self.join_attempts += 1;
-        if let Some(address) = sponsor.filter(|_| leaving || !deserted) {
-            let message = if leaving {
-                let instance = self.me.instance;
-                Message::Leave { instance }
-            } else {
-                Message::Join(self.me.clone())
-            };
-            actions.push(Action::SendTo { address, message });
-        } else if self.proposer.idle() && (leaving || (deserted && self.reads.answered)) {
-            let change = self.lone_change(leaving);
-            let operation = OperationId(self.random.random());
-            self.submit(operation, change, now, actions);
-        }
-    }
-
-    /// Returns the change of an instance that finds no other member.
-    fn lone_change(&self, leaving: bool) -> Change {
-        let listed = self.known.record.roster.iter().map(|one| one.instance);
-        if leaving {
-            let me = self.me.instance;
-            let removed = listed.filter(|instance| *instance == me).collect();
-            let added = Vec::new();
-            return Change::Roster { added, removed };
-        }
-        let added = vec![self.me.clone()];
-        let removed = listed.collect();
-        Change::Roster { added, removed }
-    }
-
     /// Returns the highest generation that this instance has seen or promised.
     fn highest(&self) -> Generation {
         let seen = self.known.record.generation;
--- a/lib/src/coordination/control/apply.rs
+++ b/lib/src/coordination/control/apply.rs
@@ -14,7 +14,6 @@
 use crate::coordination::control::BodyRequest;
 use crate::coordination::control::Event;
 use crate::coordination::control::Machine;
-use crate::coordination::control::Message;
 use crate::coordination::control::Mutation;
 use crate::coordination::control::StoreFailure;
 use crate::coordination::control::StoreRequest;
@@ -185,16 +184,14 @@
         self.take_early_releases(now);
         let event = Event::Applied(self.applied.generation);
         actions.push(Action::Event { at: wall, event });
+        let early = self.settings.mutation == Mutation::LeavesBeforeReleases;
+        if early && self.has_departed() {
+            self.phase = Phase::Left;
+        }
         // Traffic threads must see the new owners before the new owners are told to start.
         self.refresh_view(now, wall, actions);
-        for (owner, release) in ownership::releases(&old, &self.table, now) {
-            if let Some(member) = self.applied.member(owner) {
-                actions.push(Action::SendTo {
-                    address: member.address,
-                    message: Message::Release(release),
-                });
-            }
-        }
+        self.release(&old, now, actions);
+        self.leave_later(now);
     }
 
     /// Returns the file of the highest record seen, or `None` while it is missing.
@@ -245,7 +242,6 @@
             .any(|left| left.instance == self.me.instance);
         self.phase = match (self.phase, listed) {
             (Phase::Joining, true) => Phase::Member,
-            (Phase::Leaving, false) => Phase::Left,
             (phase, false) if phase == Phase::Member || departed && phase == Phase::Joining => {
                 let old = self.me.instance;
                 let new = InstanceId(self.random.random());
--- a/lib/src/coordination/control/settings.rs
+++ b/lib/src/coordination/control/settings.rs
@@ -94,6 +94,14 @@
     LostAnswersTrusted,
     /// A rollout moves to a stage whatever stage it is at.
     StagesUnchecked,
+    /// An instance that leaves does not repeat its releases.
+    ReleasesSentOnce,
+    /// An instance that leaves publishes that before it sends its releases.
+    LeavesBeforeReleases,
+    /// Facts are sent only while they are new, not when a peer lacks them.
+    FactsNotRepeated,
+    /// Facts do not expire.
+    FactsKept,
 }
 
 impl Settings {
--- a/lib/src/coordination/ownership.rs
+++ b/lib/src/coordination/ownership.rs
@@ -4,7 +4,8 @@
 //! no other instance acts on the leaf at an older generation any more. It holds after the handover
 //! wait, by the currency rule. It is inherited if this instance was the only possible owner since
 //! the table before, and is passed on by a release of an owner that was ready itself and was the
-//! only possible owner up to the generation before.
+//! only possible owner up to the generation that it released, after which this instance was the
+//! only possible owner. So a release counts also if the receiver skipped the generation.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -214,22 +215,26 @@
     handover: Handover,
     now: Instant,
 ) -> Option<Table> {
-    if release.generation < table.generation || release.revision != table.revision {
+    if release.revision != table.revision {
         return None;
     }
     let last = Generation(table.generation.0.checked_sub(1)?);
-    if release.held_at > last || !listed_until(record, release.instance, last) {
+    // The release may be for an earlier or a later generation than the one applied here.
+    let released = Generation(release.generation.0.checked_sub(1)?).min(last);
+    if release.held_at > released || !listed_until(record, release.instance, released) {
         return None;
     }
-    let listed = record.listed_between(release.held_at, last)?;
+    let listed = record.listed_between(release.held_at, released)?;
+    let since = owners_since(table.instance, record, released, last)?;
     let mut next = None;
     for (_, _, leaf) in file.leafs() {
         let waiting = table.leafs.get(&leaf.id);
         let waiting = waiting.is_some_and(|leaf| leaf.ready_at.is_some_and(|at| at > now));
-        if waiting
-            && release.leafs.contains(&leaf.id)
-            && (owner(leaf, &listed) == Some(release.instance) || !handover.check_releases)
-        {
+        let sole = owner(leaf, &listed) == Some(release.instance)
+            && since
+                .as_deref()
+                .is_none_or(|since| owner(leaf, since) == Some(table.instance));
+        if waiting && release.leafs.contains(&leaf.id) && (sole || !handover.check_releases) {
             let next = next.get_or_insert_with(|| table.clone());
             if let Some(assignment) = next.leafs.get_mut(&leaf.id) {
                 assignment.ready_at = Some(now);
@@ -239,6 +244,25 @@
     next
 }
 
+/// Returns everyone who may have been an owner after the generation `released` and up to `last`:
+/// `Some(None)` if there is no generation in between, `None` if this instance was not listed all
+/// the time or the record does not reach back so far.
+#[expect(clippy::option_option, reason = "nobody and not known are different")]
+fn owners_since(
+    instance: InstanceId,
+    record: &Record,
+    released: Generation,
+    last: Generation,
+) -> Option<Option<Listed<'_>>> {
+    if released >= last {
+        return Some(None);
+    }
+    let first = Generation(released.0 + 1);
+    let listed_all_the_time = record.member(instance)?.joined <= first;
+    let listed = record.listed_between(first, last)?;
+    listed_all_the_time.then_some(Some(listed))
+}
+
 /// Tells whether the roster listed the instance up to and including the generation.
 fn listed_until(record: &Record, instance: InstanceId, last: Generation) -> bool {
     let staying = record.member(instance);
--- a/lib/tests/control_replacement.rs
+++ b/lib/tests/control_replacement.rs
@@ -10,7 +10,6 @@
 
 use camphorhold::coordination::control::Input;
 use camphorhold::coordination::control::Mutation;
-use camphorhold::state::view::Phase;
 
 use self::control_world::World;
 use self::control_world::scenario::HEAL_BOUND;
@@ -79,7 +78,7 @@
     world.give(node, Input::Shutdown);
     for _ in 0..200 {
         world.run(Duration::from_millis(50)).unwrap();
-        if world.nodes[node].active_view().unwrap().phase == Phase::Left {
+        if world.nodes[node].machine.is_none() {
             return;
         }
     }
--- a/lib/tests/control_world/mod.rs
+++ b/lib/tests/control_world/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod facts;
 mod network;
+mod operation;
 pub mod oracle;
 pub mod scenario;
 mod store;
@@ -27,14 +29,14 @@
 use camphorhold::state::file::File;
 use camphorhold::state::id::OperationId;
 use camphorhold::state::id::Revision;
-use camphorhold::state::id::RolloutId;
-use camphorhold::state::rollout::Stage;
 use camphorhold::state::time::MAX_CLOCK_SKEW;
+use camphorhold::state::view::Phase;
 use camphorhold::state::view::View;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use self::facts::Observed;
 use self::network::Network;
 use self::oracle::Oracle;
 use self::oracle::Violation;
@@ -121,6 +123,7 @@
     random: ChaCha8Rng,
     /// Counts the proposals of stages and revocations.
     stages: u128,
+    observed: Observed,
     pub list: List,
     lists: VecDeque<BTreeSet<SocketAddr>>,
     next_list: Duration,
@@ -189,6 +192,7 @@
             finished: Vec::new(),
             random,
             stages: 0,
+            observed: Observed::default(),
             list: List::default(),
             lists: VecDeque::new(),
             next_list: Duration::ZERO,
@@ -260,37 +264,6 @@
         self.give(node, input);
     }
 
-    /// Lets the instance move the rollout to a stage, from the one that it sees.
-    pub fn propose_stage(&mut self, node: usize, stage: Stage) {
-        let Some(view) = self.nodes[node].active_view() else {
-            return;
-        };
-        let rollout: RolloutId = "rollout".parse().unwrap();
-        let expected = view.record.rollouts.get(&rollout).cloned();
-        self.stages += 1;
-        let operation = OperationId((1 << 64) + self.stages);
-        self.oracle
-            .stage_proposed(operation, expected.clone(), stage.clone());
-        let input = Input::ProposeRollout {
-            operation,
-            rollout,
-            expected,
-            stage,
-        };
-        self.give(node, input);
-    }
-
-    /// Lets the instance write a revocation to the record.
-    pub fn revoke(&mut self, node: usize, version: u8) {
-        self.stages += 1;
-        let input = Input::ProposeRevocation {
-            operation: OperationId((1 << 64) + self.stages),
-            service: "app".parse().unwrap(),
-            version: format!("v{version}").parse().unwrap(),
-        };
-        self.give(node, input);
-    }
-
     pub fn give(&mut self, node: usize, input: Input) {
         let slot = &mut self.nodes[node];
         if slot.frozen {
@@ -315,6 +288,11 @@
                     self.oracle.finished(operation, &result);
                     self.finished.push((operation, result));
                 }
+                // The process may end as soon as it sees that it has left.
+                Action::PublishView(view) if view.phase == Phase::Left => {
+                    self.kill(node);
+                    return;
+                }
                 Action::PublishView(_) | Action::Event { .. } => {}
                 request => self.send_to_store(node, request),
             }
--- a/lib/tests/control_world/network.rs
+++ b/lib/tests/control_world/network.rs
@@ -48,6 +48,8 @@
     sent: u64,
     /// Size of the largest message sent, in bytes.
     pub largest: usize,
+    /// Bytes of all messages sent.
+    pub bytes: usize,
 }
 
 impl Network {
@@ -84,6 +86,7 @@
                 continue;
             }
             let bytes = postcard::to_stdvec(message).expect("messages can be encoded");
+            self.bytes += bytes.len();
             self.largest = self.largest.max(bytes.len());
             let payload = Payload::Message { from, to, bytes };
             let at = now + self.latency(random);
--- a/lib/tests/control_world/oracle.rs
+++ b/lib/tests/control_world/oracle.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use camphorhold::coordination::gossip::Fact;
 use camphorhold::coordination::proposal::Accepted;
 use camphorhold::coordination::proposal::Error;
 use camphorhold::state::id::Generation;
@@ -56,6 +57,10 @@
     FalseRefusal(OperationId),
     /// An operation was reported as accepted at another generation than it was.
     FalseAcceptance(OperationId),
+    /// After everything healed, an instance does not know a fact that another one observed.
+    FactMissing { node: usize, fact: Fact },
+    /// An instance still shows a fact that has expired.
+    FactKept { node: usize, fact: Fact },
     /// After everything healed, an instance is not where it should be.
     NotConverged { node: usize, found: String },
 }
--- a/lib/tests/control_world/scenario.rs
+++ b/lib/tests/control_world/scenario.rs
@@ -13,6 +13,7 @@
 
 use super::List;
 use super::World;
+use super::facts;
 use super::network::STORE;
 use super::oracle::Violation;
 pub use super::store::Mode;
@@ -23,6 +24,10 @@
 /// change.
 pub const HEAL_BOUND: Duration = Duration::from_secs(3 + 10 + 4 + 4 + 7 + 5);
 
+/// All know the facts of the others this long after everything has healed: rounds of exchanges
+/// with every other instance, of which one in 200 ms is opened by each.
+pub const FACT_BOUND: Duration = Duration::from_secs(10);
+
 /// The largest number of instances. Above 15, not all are witnesses.
 pub const LARGEST: usize = 17;
 
@@ -82,6 +87,11 @@
         node: usize,
         version: u8,
     },
+    /// The fact's number tells what it is about.
+    Fact {
+        node: usize,
+        fact: u8,
+    },
     /// Moves the wall clock of an instance by so many milliseconds.
     StepWallClock {
         node: usize,
@@ -148,6 +158,7 @@
         3 => ((node(), node()), (0..20_u8, 0..20_u8))
             .prop_map(|(nodes, steps)| Transition::RacingRollouts { nodes, steps }),
         1 => (node(), 0..5_u8).prop_map(|(node, version)| Transition::Revoke { node, version }),
+        4 => (node(), 0..16_u8).prop_map(|(node, fact)| Transition::Fact { node, fact }),
         2 => (node(), -10_000..10_000_i64)
             .prop_map(|(node, millis)| Transition::StepWallClock { node, millis }),
         2 => Just(Transition::Heal),
@@ -237,6 +248,7 @@
                 self.propose_stage(nodes.1 % size, stage(steps.1));
             }
             Transition::Revoke { node, version } => self.revoke(node % size, version),
+            Transition::Fact { node, fact } => self.observe(node % size, facts::fact(fact)),
             Transition::StepWallClock { node, millis } => {
                 let wall = &mut self.nodes[node % size].wall_start;
                 let step = Duration::from_millis(millis.unsigned_abs());
@@ -300,7 +312,9 @@
             self.start(node);
         }
         self.heal();
-        self.run(HEAL_BOUND)?;
+        self.run(FACT_BOUND)?;
+        self.check_facts()?;
+        self.run(HEAL_BOUND.saturating_sub(FACT_BOUND))?;
         self.converged()
     }
 
--- a/lib/tests/ownership.rs
+++ b/lib/tests/ownership.rs
@@ -202,6 +202,53 @@
     }
 }
 
+/// Guards against a whole handover wait at an instance that skipped the generation of the release.
+#[test]
+fn a_release_counts_at_an_instance_that_skipped_its_generation() {
+    let (first, file) = start(&[1, 3]);
+    let now = Instant::now();
+    let later = now + WAIT;
+    let old = table(1, &first, &file, &Table::default(), now);
+    let second = changed(&first, &[5], &[]);
+    let next = table(1, &second, &file, &old, later);
+    let release = releases(&old, &next, later).remove(&InstanceId(5)).unwrap();
+    let third = changed(&second, &[2], &[]);
+    let new = table(5, &third, &file, &Table::default(), later);
+    let ready = with_release(&new, &third, &file, &release, HANDOVER, later).unwrap();
+    assert!(release.leafs.iter().all(|leaf| ready.ready(*leaf, later)));
+}
+
+/// Guards against a release that counts though another instance owned the leaf after it. Fails if
+/// releases are not checked.
+#[test]
+fn a_release_does_not_count_if_another_instance_owned_the_leaf_after_it() {
+    let (first, file) = start(&[1, 3]);
+    let now = Instant::now();
+    let later = now + WAIT;
+    let old = table(1, &first, &file, &Table::default(), now);
+    let second = changed(&first, &[5, 7], &[]);
+    let next = table(1, &second, &file, &old, later);
+    let release = releases(&old, &next, later).remove(&InstanceId(5)).unwrap();
+    let third = changed(&second, &[], &[5]);
+    let new = table(7, &third, &file, &Table::default(), later);
+    let taken_over = owned(&new, 7);
+    let taken_over: Vec<_> = taken_over
+        .intersection(&release.leafs.iter().copied().collect::<BTreeSet<_>>())
+        .copied()
+        .collect();
+    assert!(!taken_over.is_empty());
+    assert_eq!(
+        with_release(&new, &third, &file, &release, HANDOVER, later).map(|_| ()),
+        None
+    );
+    let unchecked = Handover {
+        check_releases: false,
+        ..HANDOVER
+    };
+    let broken = with_release(&new, &third, &file, &release, unchecked, later).unwrap();
+    assert!(taken_over.iter().all(|leaf| broken.ready(*leaf, later)));
+}
+
 /// Guards against an owner of a key that believes it always was, and so may run a request twice.
 #[test]
 fn the_owner_of_a_key_knows_since_when() {
