tests: fuzz facts, and steps of the wall clock

The world of the control fuzz lets instances observe drains, revocations, poison counts and leaf statuses. 10 s after everything has healed, every live instance must know what a process that still lives has observed, and nothing that has expired. Both checks fail under a mutation. A named case runs with and without steps of the wall clock and must end the same, down to the bytes sent. `control_facts` prints how long a change of many leaf statuses takes to reach everyone.

--- a/lib/src/coordination/control/exchange.rs
+++ b/lib/src/coordination/control/exchange.rs
@@ -19,6 +19,7 @@
 use crate::coordination::currency::age_millis;
 use crate::coordination::currency::longest_age;
 use crate::coordination::gossip::Delta;
+use crate::coordination::gossip::Digest;
 use crate::coordination::gossip::Fact;
 use crate::coordination::proposal::ProposalId;
 use crate::coordination::proposal::Stored;
@@ -158,11 +159,18 @@
             heartbeats: self.witness_heartbeats(now),
             open: self.promises.open().collect(),
             digest: self.facts.digest(),
-            delta: self.facts.delta(&request.digest, budget, now),
+            delta: self.missing_facts(&request.digest, budget, now),
             body: request.body.and_then(|body| self.body.part(body, budget)),
         }
     }
 
+    fn missing_facts(&mut self, digest: &Digest, budget: usize, now: Instant) -> Delta {
+        if self.settings.mutation == Mutation::FactsNotRepeated {
+            return self.facts.unasked(budget, now);
+        }
+        self.facts.delta(digest, budget, now)
+    }
+
     fn witness_heartbeats(&self, now: Instant) -> Vec<Heartbeat> {
         let longest = longest_age(self.settings.currency_bound);
         let mut heartbeats = self.evidence.heartbeats(now, longest);
@@ -260,7 +268,7 @@
     ) {
         let budget = self.settings.exchange_bytes;
         let record = self.record_for(response.generation);
-        let delta = self.facts.delta(&response.digest, budget, now);
+        let delta = self.missing_facts(&response.digest, budget, now);
         if record.is_some() || delta != Delta::default() {
             let message = Message::GossipPush { record, delta };
             actions.push(Action::SendTo { address, message });
--- a/lib/tests/control_cases.rs
+++ b/lib/tests/control_cases.rs
@@ -298,3 +298,45 @@
     case.extend((0..3).map(Transition::Replace));
     assert_converges(5, &case);
 }
+
+/// Guards against a decision that rests on the wall clock: with clocks that step back and forth, a
+/// case runs exactly as without.
+#[test]
+fn steps_of_the_wall_clock_change_nothing() {
+    let outcome = |steps: bool| {
+        let mut world = World::new(5, 3, Mutation::None);
+        for round in 0..6_u8 {
+            let node = usize::from(round) % 5;
+            if steps {
+                let millis = if round % 2 == 0 { 7000 } else { -9000 };
+                world
+                    .act(&Transition::StepWallClock { node, millis })
+                    .unwrap();
+            }
+            let case = [
+                Transition::Apply {
+                    node,
+                    operation: round,
+                },
+                Transition::Rollout {
+                    node,
+                    step: round + 2,
+                },
+                Transition::Fact { node, fact: round },
+                Transition::Run(3000),
+                Transition::Replace(node),
+                Transition::Run(3000),
+            ];
+            for transition in &case {
+                world.act(transition).unwrap();
+            }
+        }
+        world.act(&Transition::HealAndSettle).unwrap();
+        let views = world.nodes.iter().map(|node| {
+            let view = node.active_view().unwrap();
+            (view.instance, view.record.clone(), view.valid_until)
+        });
+        (views.collect::<Vec<_>>(), world.network.bytes)
+    };
+    assert_eq!(outcome(true), outcome(false));
+}
--- /dev/null
+++ b/lib/tests/control_facts.rs
@@ -0,0 +1,86 @@
+//! A change of all leaf statuses at once: it reaches everyone, within the bytes of an exchange.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod control_world;
+
+use std::time::Duration;
+
+use camphorhold::coordination::control::Mutation;
+use camphorhold::state::id::LeafId;
+use camphorhold::state::id::SnapshotId;
+
+use self::control_world::World;
+use self::control_world::facts::leaf_status;
+use self::control_world::scenario::HEAL_BOUND;
+
+/// Leafs of the target.
+const LEAFS: u16 = 9100;
+
+const STEP: Duration = Duration::from_millis(500);
+
+/// A leaf status expires after a minute, so all must be known long before.
+const BOUND: Duration = Duration::from_secs(30);
+
+/// The bytes of an exchange, and some for what is not facts.
+const LARGEST_MESSAGE: usize = 16 * 1024 + 2048;
+
+fn leaf(number: u16) -> LeafId {
+    LeafId(([10, 0, 0, 1], 10_000 + number).into())
+}
+
+/// Lets each leaf's status change at its owner, and returns how long until all know.
+fn change_all(world: &mut World, leafs: u16, snapshot: u64) -> Duration {
+    let size = world.nodes.len();
+    for number in 0..leafs {
+        let node = usize::from(number) % size;
+        world.observe(node, leaf_status(leaf(number), snapshot));
+    }
+    let begin = world.now;
+    let known = |world: &World| {
+        world.nodes.iter().all(|node| {
+            let statuses = &node.active_view().unwrap().leaf_statuses;
+            let mut leafs = (0..leafs).map(leaf);
+            leafs.all(|leaf| {
+                let status = statuses.get(&leaf);
+                status.is_some_and(|status| status.holds.contains(&SnapshotId(snapshot)))
+            })
+        })
+    };
+    while !known(world) {
+        world.run(STEP).unwrap();
+        assert!(world.now < begin + BOUND, "not known after {BOUND:?}");
+    }
+    world.now.saturating_sub(begin)
+}
+
+fn measure(size: usize, leafs: u16) {
+    let mut world = World::new(size, 5, Mutation::None);
+    world.run(HEAL_BOUND).unwrap();
+    for snapshot in 1..=2 {
+        let sent = world.network.bytes;
+        let time = change_all(&mut world, leafs, snapshot);
+        let bytes = (world.network.bytes - sent) as f64 / size as f64;
+        println!(
+            "{size} instances, {leafs} leafs, change {snapshot}: known everywhere after {time:?}, \
+             {:.0} KB sent by each instance, {:.1} KB/s",
+            bytes / 1000.0,
+            bytes / 1000.0 / time.as_secs_f64(),
+        );
+    }
+    assert!(world.network.largest <= LARGEST_MESSAGE);
+}
+
+/// Guards against exchanges that grow with the number of facts, and facts that never catch up.
+#[test]
+fn a_change_of_many_leaf_statuses_reaches_seven_instances() {
+    measure(7, LEAFS / 10);
+}
+
+/// Takes long in a debug build. Run it by hand, with `--release` and `--ignored --nocapture`.
+#[test]
+#[ignore = "a measurement that takes minutes in a debug build"]
+fn a_change_of_all_leaf_statuses_reaches_seven_and_fifty_instances() {
+    measure(7, LEAFS);
+    measure(50, LEAFS);
+}
--- a/lib/tests/control_mutations.rs
+++ b/lib/tests/control_mutations.rs
@@ -316,3 +316,22 @@
         matches!(violation, Violation::FalseRefusal(_))
     });
 }
+
+#[test]
+fn facts_that_are_not_repeated_are_missed_after_healing() {
+    let mut case = isolate(2);
+    case.extend((0..4).map(|fact| Transition::Fact { node: 0, fact }));
+    case.push(Run(6000));
+    assert_noticed(Mutation::FactsNotRepeated, &[case], |violation| {
+        matches!(violation, Violation::FactMissing { .. })
+    });
+}
+
+#[test]
+fn facts_that_do_not_expire_are_noticed() {
+    let fact = Transition::Fact { node: 0, fact: 0 };
+    let case = vec![fact, Run(75_000)];
+    assert_noticed(Mutation::FactsKept, &[case], |violation| {
+        matches!(violation, Violation::FactKept { .. })
+    });
+}
