--- a/lib/src/coordination/control/apply.rs
+++ b/lib/src/coordination/control/apply.rs
@@ -12,7 +12,6 @@
 use crate::coordination::control::Action;
 use crate::coordination::control::Event;
 use crate::coordination::control::Machine;
-use crate::coordination::control::Message;
 use crate::coordination::control::Mutation;
 use crate::coordination::control::StoreFailure;
 use crate::coordination::control::StoreRequest;
@@ -104,20 +103,19 @@
             now,
         );
         let old = std::mem::replace(&mut self.table, Arc::new(table));
+        self.carry_currency(now);
         self.applied = record;
         self.take_early_releases(now);
         let event = Event::Applied(self.applied.generation);
         actions.push(Action::Event { at: wall, event });
+        let early = self.settings.mutation == Mutation::LeavesBeforeReleases;
+        if early && self.has_departed() {
+            self.phase = Phase::Left;
+        }
         // Traffic threads must see the new owners before the new owners are told to start.
         self.refresh_view(now, wall, actions);
-        for (owner, release) in ownership::releases(&old, &self.table, now) {
-            if let Some(member) = self.applied.member(owner) {
-                actions.push(Action::SendTo {
-                    address: member.address,
-                    message: Message::Release(release),
-                });
-            }
-        }
+        self.release(&old, now, actions);
+        self.leave_later(now);
     }
 
     /// Returns the file of the highest record seen, or `None` while it is missing.
@@ -168,7 +166,6 @@
             .any(|left| left.instance == self.me.instance);
         self.phase = match (self.phase, listed) {
             (Phase::Joining, true) => Phase::Member,
-            (Phase::Leaving, false) => Phase::Left,
             (phase, false) if phase == Phase::Member || departed && phase == Phase::Joining => {
                 let old = self.me.instance;
                 let new = InstanceId(self.random.random());
@@ -258,7 +255,7 @@
         if self.applied.generation.0 == 0 {
             return (Currency::Lost, None);
         }
-        let (currency, until) = self.evidence.assess(&self.applied, bound, now);
+        let (currency, until) = self.with_carried(bound, now);
         let store_only = self.settings.mutation == Mutation::StoreEvidenceOnly;
         if store_only && currency == Currency::Witnessed {
             return (Currency::Lost, None);
@@ -266,6 +263,27 @@
         (currency, until)
     }
 
+    /// Keeps the currency of the generation applied for the one that follows. Its evidence shows
+    /// that no later generation was accepted before a moment, and the one that follows is later, so
+    /// whatever replaces that one was accepted after the moment too. Without this, an instance that
+    /// learned a generation from a push refused work until its next exchange.
+    fn carry_currency(&mut self, now: Instant) {
+        if let (currency, Some(until)) = self.assess(self.settings.currency_bound, now) {
+            self.carried = Some((currency, until));
+        }
+    }
+
+    fn with_carried(&self, bound: Duration, now: Instant) -> (Currency, Option<Instant>) {
+        let (currency, until) = self.evidence.assess(&self.applied, bound, now);
+        match self.carried {
+            Some((carried, later)) if now < later && until < Some(later) => {
+                let currency = until.map_or(carried, |_| currency);
+                (currency, Some(later))
+            }
+            _ => (currency, until),
+        }
+    }
+
     fn show_facts(&self, view: &mut View) {
         let mut revocations = self.applied.revocations.clone();
         let mut drains = BTreeSet::new();
