gossip: renewals do not lead to a new view

Cause: owners renew the status of each leaf every half minute, and every renewal made each instance collect all facts again and publish a view, though only the age had changed. That work grows with the number of facts times the rate of renewals.

Change: merging and observing report news only if a fact says something else. Renewals are passed on as before and keep the fact alive (new test).

--- a/lib/src/coordination/gossip.rs
+++ b/lib/src/coordination/gossip.rs
@@ -196,7 +196,7 @@
 }
 
 impl Facts {
-    /// Notes an observation of this instance. Tells whether it says anything new.
+    /// Notes an observation of this instance. Tells whether it says anything new; a renewal does not.
     ///
     /// # Errors
     ///
@@ -219,9 +219,11 @@
         };
         let subject = fact.subject();
         let origin = self.origins.entry(me).or_default();
-        if origin.facts.get(&subject).is_some_and(repeated) {
+        let known = origin.facts.get(&subject);
+        if known.is_some_and(repeated) {
             return Ok(false);
         }
+        let news = known.is_none_or(|held| held.fact != fact);
         origin.complete += 1;
         let held = Held {
             version: origin.complete,
@@ -230,10 +232,10 @@
             unasked: UNASKED_SENDS,
         };
         origin.facts.insert(subject, held);
-        Ok(true)
+        Ok(news)
     }
 
-    /// Takes facts from a peer. Tells whether any was new.
+    /// Takes facts from a peer. Tells whether any says something new.
     pub fn merge(&mut self, me: InstanceId, delta: &Delta, now: Instant) -> bool {
         let mut news = false;
         for item in delta.items.iter().filter(|item| item.origin != me) {
@@ -246,7 +248,8 @@
             if expired || known.is_some_and(|held| held.version >= item.version) {
                 continue;
             }
-            news = true;
+            // A renewal changes nothing but the age, and must not lead to a new view.
+            news |= known.is_none_or(|held| held.fact != item.fact);
             let held = Held {
                 version: item.version,
                 fact: item.fact.clone(),
--- a/lib/tests/gossip.rs
+++ b/lib/tests/gossip.rs
@@ -90,6 +90,29 @@
     assert!(b.iter().any(|(_, fact)| *fact == poison(7, 2)));
 }
 
+/// Guards against renewals that make every instance publish a view although nothing changed, and
+/// against renewed facts that expire all the same.
+#[test]
+fn a_renewal_is_passed_on_but_says_nothing_new() {
+    let now = Instant::now();
+    let (mut a, mut b) = (Facts::default(), Facts::default());
+    let mut pass_on = |a: &mut Facts, now| {
+        let delta = a.delta(&b.digest(), BUDGET, now);
+        let news = b.merge(B, &delta, now);
+        let expired = b.expire(B, now);
+        (news, expired, count(&b))
+    };
+    assert_eq!(a.observe(A, poison(7, 1), now), Ok(true));
+    assert_eq!(pass_on(&mut a, now), (true, false, 1));
+    let later = now + Duration::from_secs(400);
+    assert_eq!(a.observe(A, poison(7, 1), later), Ok(false));
+    assert_eq!(pass_on(&mut a, later), (false, false, 1));
+    let after = now + Duration::from_secs(700);
+    assert_eq!(pass_on(&mut a, after), (false, false, 1));
+    assert_eq!(a.observe(A, poison(7, 2), after), Ok(true));
+    assert_eq!(pass_on(&mut a, after), (true, false, 1));
+}
+
 /// Guards against facts that live for ever by being passed around.
 #[test]
 fn a_fact_expires_by_its_age_and_does_not_return() {
