daemon: refuse to write a record that no instance would read back

Cause: records are compressed in the store, and the bound on reading holds for the decompressed record. A record above 1 MiB would fit into the store and then be refused by every reader.

Change: the writer applies the same bound. Nothing is sent and the operation fails as before compression.

Not covered by a test: the daemon has none for its store calls.

--- a/daemon/src/control/store.rs
+++ b/daemon/src/control/store.rs
@@ -87,6 +87,14 @@
     ) -> Input {
         count("write");
         let swapped = match serde_json::to_vec(&*record) {
+            // Compressed it would fit into the store, but no instance would read it back.
+            Ok(value) if value.len() > MAX_VALUE_BYTES => {
+                log::error!(
+                    "the record has {} bytes: too large to be read back",
+                    value.len()
+                );
+                Swapped::NotSent
+            }
             Ok(value) => self.swap(expected, compression::pack(value)).await,
             Err(error) => {
                 log::error!("cannot encode the record: {error}");
