--- a/lib/examples/control_costs/main.rs
+++ b/lib/examples/control_costs/main.rs
@@ -7,17 +7,29 @@
 #[path = "../capacity_support/mod.rs"]
 mod capacity_support;
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::hint::black_box;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use camphorhold::coordination::call::CallId;
+use camphorhold::coordination::control::Input;
+use camphorhold::coordination::control::Machine;
+use camphorhold::coordination::control::Message;
+use camphorhold::coordination::control::Sender;
+use camphorhold::coordination::control::Settings;
 use camphorhold::coordination::dispatch;
+use camphorhold::coordination::gossip::Delta;
+use camphorhold::coordination::gossip::Fact;
+use camphorhold::coordination::gossip::Item;
 use camphorhold::coordination::ownership;
 use camphorhold::coordination::ownership::Handover;
 use camphorhold::coordination::replica;
+use camphorhold::coordination::replica::Exclusion;
+use camphorhold::coordination::replica::LeafIndex;
 use camphorhold::coordination::warmth;
 use camphorhold::state::assignment;
 use camphorhold::state::compression::compress;
@@ -26,12 +38,17 @@
 use camphorhold::state::file::ColdStart;
 use camphorhold::state::file::File;
 use camphorhold::state::id::InstanceId;
+use camphorhold::state::id::LeafId;
 use camphorhold::state::id::OperationId;
+use camphorhold::state::id::PartitionId;
+use camphorhold::state::id::ServerIncarnation;
 use camphorhold::state::id::ShardId;
+use camphorhold::state::id::SnapshotId;
 use camphorhold::state::record::Candidate;
 use camphorhold::state::record::Record;
 use camphorhold::state::size::Connections;
 use camphorhold::state::size::Slots;
+use camphorhold::state::view::Temperature;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -82,7 +99,9 @@
     let changed = file_text(leafs, leafs / 2);
     let file = bodies(&text, &changed);
     let record = records(instances, &text);
-    tables(&record, &file, leafs);
+    let table = tables(&record, &file, leafs);
+    lanes(&file, &table);
+    views(leafs);
     entry_memory(leafs);
     owner_memory();
 }
@@ -141,7 +160,7 @@
     record
 }
 
-fn tables(record: &Record, file: &File, leafs: usize) {
+fn tables(record: &Record, file: &File, leafs: usize) -> assignment::Table {
     let now = Instant::now();
     let handover = Handover {
         wait: Duration::from_millis(3500),
@@ -171,6 +190,90 @@
     let moved = after.leafs().filter(|(_, leaf)| leaf.previous.is_some());
     println!("leafs moved by one removal: {} of {leafs}", moved.count());
     timed("releases", || ownership::releases(&current, &after, now));
+    after
+}
+
+/// Makes the calls that an entry instance's lane makes for each leaf of each published view.
+fn lanes(file: &File, ownership: &assignment::Table) {
+    let leafs: Vec<_> = file.leafs().map(|(_, _, leaf)| leaf.clone()).collect();
+    let shards: Vec<_> = leafs.iter().map(|leaf| leaf.shard).collect();
+    let now = Instant::now();
+    let mut table = replica::Table::new(10_000, &shards, now);
+    let drains: BTreeSet<LeafId> = BTreeSet::new();
+    let held = [SnapshotId(1), SnapshotId(2)];
+    let statuses: BTreeMap<_, _> = leafs.iter().map(|leaf| (leaf.id, held)).collect();
+    timed("update the lanes of an entry instance", || {
+        for (index, leaf) in (0..).map(LeafIndex).zip(&leafs) {
+            let out = !file.in_service(&leaf.failure_domain);
+            let unowned = ownership.leaf(leaf.id).is_none();
+            table.set_excluded(index, Exclusion::OutOfService, out);
+            table.set_excluded(index, Exclusion::Leaving, leaf.leaving);
+            table.set_excluded(index, Exclusion::Draining, drains.contains(&leaf.id));
+            table.set_excluded(index, Exclusion::Unowned, unowned);
+            if let Some(held) = statuses.get(&leaf.id) {
+                table.set_held(index, PartitionId(1), held);
+            }
+        }
+    });
+}
+
+/// Returns a message with the leaf status of one owner.
+fn status(leaf: usize, version: u64, owner: u64) -> Message {
+    let [_, _, high, low] = u32::try_from(leaf).unwrap_or(0).to_be_bytes();
+    let origin = InstanceId(owner);
+    let fact = Fact::LeafStatus {
+        leaf: LeafId(SocketAddr::from(([10, 0, high, low], 7000))),
+        incarnation: ServerIncarnation(7),
+        holds: vec![SnapshotId(version), SnapshotId(version + 1)],
+        partition: PartitionId(1),
+        temperature: Temperature::Warm,
+    };
+    let item = Item {
+        origin,
+        version,
+        age_ms: 0,
+        fact,
+    };
+    let delta = Delta {
+        items: vec![item],
+        complete: Vec::new(),
+    };
+    Message::GossipPush {
+        record: None,
+        delta,
+    }
+}
+
+/// Measures a machine that holds the statuses of all leafs, five per owner.
+fn views(leafs: usize) {
+    let domain = DOMAINS[0].parse().expect("valid");
+    let settings = Settings::new(SocketAddr::from(([10, 0, 0, 1], 7400)), domain);
+    let (now, wall) = (Instant::now(), SystemTime::UNIX_EPOCH);
+    let mut machine = Machine::new(settings, SEED, now);
+    let mut version = 0;
+    let mut give = |leaf: usize, version| {
+        let owner = 1 + leaf as u64 / 5;
+        let from = Sender {
+            instance: InstanceId(owner),
+            address: SocketAddr::from(([10, 0, 0, 2], 7400)),
+        };
+        let message = status(leaf, version, owner);
+        let input = Input::Message { from, message };
+        machine.handle(input, now, wall).len()
+    };
+    for leaf in 0..leafs {
+        give(leaf, 1 + leaf as u64 % 5);
+    }
+    timed("take a changed leaf status and publish a view", || {
+        version += 10;
+        give(0, version)
+    });
+    let later = now + Duration::from_secs(2);
+    timed("a tick that looks for expired facts", || {
+        version += 1;
+        let at = later + Duration::from_secs(version);
+        machine.handle(Input::Tick, at, wall).len()
+    });
 }
 
 fn entry_memory(leafs: usize) {
