--- a/lib/tests/control_facts.rs
+++ b/lib/tests/control_facts.rs
@@ -60,7 +60,8 @@
     for snapshot in 1..=2 {
         let sent = world.network.bytes;
         let time = change_all(&mut world, leafs, snapshot);
-        let bytes = (world.network.bytes - sent) as f64 / size as f64;
+        let bytes = u32::try_from((world.network.bytes - sent) / size).unwrap();
+        let bytes = f64::from(bytes);
         println!(
             "{size} instances, {leafs} leafs, change {snapshot}: known everywhere after {time:?}, \
              {:.0} KB sent by each instance, {:.1} KB/s",
