query: replace a leaf that is out without budget

Change: the first such call of a shard is replaced at once, like a call that was not sent. The leaf is excluded from the next choice, so there is at most one free call per shard and query. Every other bound is as it was.

--- a/lib/src/coordination/query.rs
+++ b/lib/src/coordination/query.rs
@@ -107,8 +107,11 @@
     // When the next hedge was first due, if it was left out for lack of budget.
     hedge_due: Option<Instant>,
     retry_at: Option<Instant>,
-    // Whether the retry replaces a call that no byte left for, and is therefore free.
+    // Whether the retry replaces a call that no byte left for, or the first one that its leaf
+    // cannot serve at all, and is therefore free.
     retry_is_resend: bool,
+    // Whether such a leaf has been replaced already.
+    moved: bool,
 }
 
 /// A query in progress. `T` is the content of a leaf's answer.
@@ -367,6 +370,7 @@
                 hedge_due: None,
                 retry_at: None,
                 retry_is_resend: false,
+                moved: false,
             });
         }
     }
--- a/lib/src/coordination/query/dispatch.rs
+++ b/lib/src/coordination/query/dispatch.rs
@@ -229,7 +229,9 @@
         shard.failed_leaf = Some(call.leaf);
         let in_flight = shard.calls.iter().flatten().count();
         if in_flight == 0 {
-            shard.retry_is_resend = failure == Failure::NotSent;
+            let is_first_move = failure.excludes_leaf() && !shard.moved;
+            shard.moved |= is_first_move;
+            shard.retry_is_resend = failure == Failure::NotSent || is_first_move;
             self.last_reason = Reason::Failed(failure);
             // A call that did not leave this side has not used up the one send.
             if self.idempotent || failure == Failure::NotSent {
--- a/lib/src/coordination/query/outcome.rs
+++ b/lib/src/coordination/query/outcome.rs
@@ -87,6 +87,14 @@
 }
 
 impl Failure {
+    /// Tells whether the leaf cannot serve the request at all, so that the next choice avoids it.
+    /// Such a refusal costs the server no work, and a service with little traffic has earned no
+    /// budget to ask another replica with.
+    #[must_use]
+    pub(super) fn excludes_leaf(self) -> bool {
+        matches!(self, Self::Draining | Self::WrongSnapshot)
+    }
+
     /// Tells whether the call may have started at the backend server.
     #[must_use]
     pub fn may_have_started(self) -> bool {
--- a/lib/tests/entry_query_failures.rs
+++ b/lib/tests/entry_query_failures.rs
@@ -52,6 +52,25 @@
     }
 }
 
+/// Guards against a shard left out because a service with little traffic has earned no budget to
+/// ask the other replica with, and against more than one free call per shard.
+#[test]
+fn a_leaf_that_is_out_is_replaced_without_budget() {
+    for failure in [Failure::Draining, Failure::WrongSnapshot] {
+        let entry = Entry::new(1, 2, 1);
+        let scope = scope(1);
+        let request = entry.request(1, &scope);
+        let mut run = Run::start(entry, &request);
+        while run.entry.budget.take() {}
+        let first = run.sends()[0];
+        run.fail(&first, failure);
+        let second = run.sends()[1];
+        assert_ne!(second.leaf, first.leaf, "{failure}");
+        run.fail(&second, failure);
+        assert_eq!(run.sends().len(), 2, "{failure}");
+    }
+}
+
 /// Guards against new work for a leaf that has said that it drains.
 #[test]
 fn a_draining_answer_excludes_the_leaf() {
--- a/lib/tests/entry_world/mod.rs
+++ b/lib/tests/entry_world/mod.rs
@@ -53,6 +53,8 @@
     cleared: bool,
     /// Whether the transport has given the call up after sending it.
     given_up: bool,
+    /// Whether the leaf said that it cannot serve the request at all, and did not start it.
+    leaf_is_out: bool,
 }
 
 struct Execution {
@@ -167,6 +169,7 @@
                     stage: Stage::OnTheWay,
                     cleared: false,
                     given_up: false,
+                    leaf_is_out: false,
                 }),
                 Action::Finish(answer) => {
                     self.check_end(query, &answer);
@@ -193,6 +196,7 @@
         let pin = self.leaf_pins[send.leaf.0 as usize];
         if pin != self.asked[query].pin && variant.is_multiple_of(2) {
             self.wires[wire].stage = Stage::Refused;
+            self.wires[wire].leaf_is_out = true;
             self.messages.push(Message {
                 wire,
                 content: Err(Failure::WrongSnapshot),
@@ -212,6 +216,7 @@
         let refusals = [Failure::Shed, Failure::RefusedNotStarted, Failure::Draining];
         let refusal = refusals[usize::from(variant) % refusals.len()];
         self.wires[wire].stage = Stage::Refused;
+        self.wires[wire].leaf_is_out = refusal == Failure::Draining;
         self.messages.push(Message {
             wire,
             content: Err(refusal),
