gossip: a delta for an earlier process completes nothing at the next one

Cause: a delta states up to which version its receiver has all facts of an origin, but that rests on what the receiver said it had. A push that was late reached the process started next at the same address. It took the statement over, and did not ask for the older facts as long as the origin had a younger one in force. A revocation can be missing for good. Ruled out: the opening request (its facts come unasked and complete nothing) and answers (their exchange number starts at random).

Change: a delta also states the version that it starts from, and counts only at a receiver that has come so far.

--- a/lib/src/coordination/gossip.rs
+++ b/lib/src/coordination/gossip.rs
@@ -170,8 +170,20 @@
 pub struct Delta {
     /// The facts.
     pub items: Vec<Item>,
-    /// Up to which version the receiver has all facts of the origin after taking these.
-    pub complete: Vec<(InstanceId, u64)>,
+    /// The versions that are here in full, by origin.
+    pub complete: Vec<Complete>,
+}
+
+/// States that a delta holds all facts of an origin in a range of versions that are still in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Complete {
+    /// The origin.
+    pub origin: InstanceId,
+    /// The version up to which the receiver had said that it has all facts. A delta may reach a
+    /// later process at the receiver's address, which has not.
+    pub after: u64,
+    /// The version up to which the receiver has all facts after taking these.
+    pub upto: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -255,9 +267,11 @@
             };
             origin.facts.insert(subject, held);
         }
-        for (origin, complete) in delta.complete.iter().filter(|(origin, _)| *origin != me) {
-            let origin = self.origins.entry(*origin).or_default();
-            origin.complete = origin.complete.max(*complete);
+        for complete in delta.complete.iter().filter(|one| one.origin != me) {
+            let origin = self.origins.entry(complete.origin).or_default();
+            if origin.complete >= complete.after {
+                origin.complete = origin.complete.max(complete.upto);
+            }
         }
         news
     }
@@ -325,7 +339,11 @@
                 delta.items.push(item);
             }
             if complete > known {
-                delta.complete.push((*instance, complete));
+                delta.complete.push(Complete {
+                    origin: *instance,
+                    after: known,
+                    upto: complete,
+                });
             }
         }
         self.add_unasked(&mut delta, left, now);
--- a/lib/tests/control_cases.rs
+++ b/lib/tests/control_cases.rs
@@ -340,3 +340,35 @@
     };
     assert_eq!(outcome(true), outcome(false));
 }
+
+/// Found by fuzzing (`PROPTEST_RNG_SEED=31`): see `a_delta_for_an_earlier_process_completes_nothing`.
+#[test]
+fn a_process_that_replaces_one_that_was_leaving_learns_all_facts() {
+    let case = [
+        Transition::Fact { node: 2, fact: 0 },
+        Transition::Run(89),
+        Transition::Cut {
+            from: 0,
+            to: 0,
+            both: false,
+        },
+        Transition::Run(1845),
+        Transition::Shutdown(3),
+        Transition::Freeze(2),
+        Transition::Network {
+            loss_percent: 3,
+            double_percent: 3,
+            delay_ms: 1824,
+        },
+        Transition::Apply {
+            node: 2,
+            operation: 0,
+        },
+        Transition::Replace(0),
+        Transition::Run(3681),
+        Transition::Freeze(3),
+        Transition::Run(2199),
+    ];
+    let result = run(4, 3_526_455_919_124_731_749, Mutation::None, &case);
+    assert_eq!(result, Ok(()));
+}
--- a/lib/tests/gossip.rs
+++ b/lib/tests/gossip.rs
@@ -87,6 +87,29 @@
     assert!(b.iter().any(|(_, fact)| *fact == poison(7, 2)));
 }
 
+/// Found by fuzzing (`PROPTEST_RNG_SEED=31`, case seed 3526455919124731749): an answer to a process
+/// that had ended reached the next one at its address, which then counted the facts of the first
+/// as its own and did not ask for them.
+#[test]
+fn a_delta_for_an_earlier_process_completes_nothing() {
+    let now = Instant::now();
+    let (mut a, mut b) = (Facts::default(), Facts::default());
+    a.observe(A, poison(1, 1), now).unwrap();
+    let first = a.delta(&b.digest(), BUDGET, now);
+    b.merge(B, &first, now);
+    a.observe(A, poison(2, 1), now).unwrap();
+    let mut late = a.delta(&b.digest(), BUDGET, now);
+    late.items.retain(|item| item.version == 2);
+
+    while !a.unasked(BUDGET, now).items.is_empty() {}
+
+    let mut restarted = Facts::default();
+    restarted.merge(B, &late, now);
+    let delta = a.delta(&restarted.digest(), BUDGET, now);
+    restarted.merge(B, &delta, now);
+    assert_eq!(count(&restarted), 2);
+}
+
 /// Guards against facts that live for ever by being passed around.
 #[test]
 fn a_fact_expires_by_its_age_and_does_not_return() {
