--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -109,6 +109,13 @@
 }
 
 impl File {
+    /// Reads the text of a file.
+    pub fn from_text(text: &str) -> Result<Self, Error> {
+        let document: Result<DocumentMut, _> = text.parse();
+        let document = document.map_err(|error| Error::File(error.to_string()))?;
+        Ok(Self { document })
+    }
+
     /// Returns the text.
     pub fn text(&self) -> String {
         self.document.to_string()
--- a/bench/src/experiment/mod.rs
+++ b/bench/src/experiment/mod.rs
@@ -8,6 +8,7 @@
 pub mod peer_path;
 pub mod replica_lost;
 pub mod restart;
+pub mod rollout;
 pub mod serve;
 
 use std::collections::BTreeSet;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -50,6 +50,8 @@
     Once(Options),
     /// JSON-RPC against postcard between instances.
     PeerPath(Options),
+    /// Rollouts of good and bad versions, each on a service of its own, and a move without a gate.
+    Rollout(experiment::rollout::Options),
 }
 
 #[tokio::main]
@@ -80,5 +82,6 @@
         Experiment::Restart(options) => experiment::restart::run(&options).await,
         Experiment::Once(options) => experiment::once::run(&options).await,
         Experiment::PeerPath(options) => experiment::peer_path::run(&options).await,
+        Experiment::Rollout(options) => experiment::rollout::run(&options).await,
     }
 }
--- a/bench/src/tier.rs
+++ b/bench/src/tier.rs
@@ -169,9 +169,17 @@
 impl Tier {
     /// Starts everything, applies the deployment's file and waits until all instances are ready.
     pub async fn start(config: &Config) -> Result<Self, Error> {
+        Self::start_with(config, |first| config.deployment.file(first)).await
+    }
+
+    /// Like [`Tier::start`], with a file made for the first port of the run.
+    pub async fn start_with(
+        config: &Config,
+        make_file: impl FnOnce(u16) -> Result<File, Error>,
+    ) -> Result<Self, Error> {
         let first = deployment::free_block()?;
         let directory = run_directory(first)?;
-        let file = config.deployment.file(first)?;
+        let file = make_file(first)?;
         let file_path = directory.join("file.toml");
         std::fs::write(&file_path, file.text())?;
         let log = directory.join("standins.log");
