--- a/bench/src/experiment/rollout/case.rs
+++ b/bench/src/experiment/rollout/case.rs
@@ -5,6 +5,7 @@
 
 use camphorhold_testutils::backend::Change;
 use camphorhold_testutils::backend::Fault;
+use camphorhold_testutils::backend::Lifecycle;
 use camphorhold_testutils::backend::Misbehaviour;
 use clap::ValueEnum;
 
@@ -43,6 +44,10 @@
     FailsUnderLoad,
     /// Half of its calls on one of two routes fail.
     FailsOnRoute,
+    /// Its servers reset connections and calls from the start.
+    Unreachable,
+    /// Its servers hold no snapshot from the start.
+    NoSnapshot,
     /// Half of its calls fail from the start, and all traffic moves at once, without a rollout.
     NoGate,
 }
@@ -58,13 +63,15 @@
             Self::SlowLater => "slow-later",
             Self::FailsUnderLoad => "fails-under-load",
             Self::FailsOnRoute => "fails-on-route",
+            Self::Unreachable => "unreachable",
+            Self::NoSnapshot => "no-snapshot",
             Self::NoGate => "no-gate",
         }
     }
 
-    /// Tells whether the fault shows as time, which the stand-in does not count.
-    pub fn is_slow(self) -> bool {
-        matches!(self, Self::SlowAtOnce | Self::SlowLater)
+    /// Tells whether each call shows the fault, which the stand-in does not count as failed.
+    pub fn shows_at_call(self) -> bool {
+        matches!(self, Self::SlowAtOnce | Self::SlowLater | Self::Unreachable)
     }
 
     /// Tells whether the fault begins some time after the start.
@@ -79,7 +86,7 @@
             bad.after_unix_ms = later_unix_ms;
         }
         match self {
-            Self::Good => {}
+            Self::Good | Self::Unreachable | Self::NoSnapshot => {}
             Self::SlowAtOnce | Self::SlowLater => bad.slow_factor = 4.0,
             Self::FailsUnderLoad => {
                 bad.min_in_flight = 2;
@@ -95,9 +102,15 @@
             service: Some(self.name().to_owned()),
             version: Some(NEW.to_owned()),
             fault: Some(Fault {
+                lifecycle: if self == Self::Unreachable {
+                    Lifecycle::Gone
+                } else {
+                    Lifecycle::Serving
+                },
                 misbehaviour: bad,
                 ..Fault::default()
             }),
+            snapshots: (self == Self::NoSnapshot).then(Vec::new),
             ..Change::default()
         }
     }
--- a/bench/src/experiment/rollout/watch.rs
+++ b/bench/src/experiment/rollout/watch.rs
@@ -70,8 +70,9 @@
             failed += answered.saturating_sub(leaf.cancelled);
         }
         let begun = !case.is_late() || now >= later;
-        let called = case.is_slow() && calls > self.calls;
-        let shown = case != Case::Good && begun && (failed > 0 || called);
+        let called = case.shows_at_call() && calls > self.calls;
+        let shown =
+            case != Case::Good && begun && (failed > 0 || called || case == Case::NoSnapshot);
         if self.fault.is_none() && shown {
             self.fault = Some(now);
             self.fault_share = self.stages.last().map_or(0, |(_, stage)| share(stage));
