--- a/bench/src/tier.rs
+++ b/bench/src/tier.rs
@@ -74,8 +74,16 @@
 impl Tier {
     /// Starts everything, applies the deployment's file and waits until all instances are ready.
     pub async fn start(config: &Config) -> Result<Self, Error> {
+        Self::start_with(config, |ports| config.deployment.file(ports)).await
+    }
+
+    /// Like [`Tier::start`], with a file made from free ports.
+    pub async fn start_with(
+        config: &Config,
+        make_file: impl FnOnce(&mut Ports) -> Result<File, Error>,
+    ) -> Result<Self, Error> {
         let mut ports = Ports::new();
-        let file = config.deployment.file(&mut ports)?;
+        let file = make_file(&mut ports)?;
         let directory = run_directory()?;
         let file_path = directory.join("file.toml");
         std::fs::write(&file_path, file.text())?;
