canary: hedge a canary call that straggles

Cause of the p99 at the deadline: a query with an unknown fingerprint waits for its canary call, and that call alone was never hedged, so with 1 in 100 calls straggling about 1 in 100 queries waited until its deadline. Change: the canary is hedged like any other call, unless its fingerprint has crashed a server before. If a hedged canary loses its connection, two crashes are counted, because the second call may crash its server after the query has ended; so a fingerprint still reaches two servers at most. The hedge delay test follows the 97th percentile with the same tolerance as before.

--- a/daemon/src/canary.rs
+++ b/daemon/src/canary.rs
@@ -48,7 +48,12 @@
     /// On all its leafs at once.
     Free,
     /// On one leaf first; [`Canaries::finish`] has to be called.
-    Canary(Fingerprint),
+    Canary {
+        /// The request's fingerprint.
+        fingerprint: Fingerprint,
+        /// Whether a straggling call may be hedged.
+        hedging: bool,
+    },
     /// Not at all.
     Blocked(Fingerprint),
     /// Another request's canary did not end before the deadline.
@@ -90,18 +95,29 @@
     /// Decides at the owner of a fingerprint how a request may run.
     pub fn admit_owned(&self, fingerprint: Fingerprint) -> Admission {
         self.learn();
-        let admission = lock(&self.owned).admit(fingerprint, SystemClock.now());
+        let (admission, crashes) = {
+            let mut owned = lock(&self.owned);
+            let admission = owned.admit(fingerprint, SystemClock.now());
+            (admission, owned.crashes(fingerprint))
+        };
         if let poison::Admission::Blocked { .. } = admission {
             let kind = Kind::PoisonBlocked { fingerprint };
             self.recorder.record(kind, Subject::default());
         }
-        admission.into()
+        match admission {
+            poison::Admission::RunCanary if crashes > 0 => Admission::RunLastCanary,
+            admission => admission.into(),
+        }
     }
 
     /// Takes the end of a canary at the owner of its fingerprint.
     pub fn finish_owned(&self, fingerprint: Fingerprint, outcome: Outcome) {
-        lock(&self.owned).canary_finished(fingerprint, outcome.into(), SystemClock.now());
-        if outcome == Outcome::Crashed {
+        let now = SystemClock.now();
+        lock(&self.owned).canary_finished(fingerprint, outcome.into(), now);
+        if outcome == Outcome::CrashedTwice {
+            lock(&self.owned).crashed(fingerprint, now);
+        }
+        if matches!(outcome, Outcome::Crashed | Outcome::CrashedTwice) {
             log::warn!("a request with fingerprint {fingerprint} crashed a backend server");
             metrics::counter!("camphorhold_poison_crashes_total").increment(1);
             self.spread(fingerprint);
@@ -145,7 +161,20 @@
         loop {
             match self.ask(fingerprint).await {
                 Admission::KnownGood => return Permission::Free,
-                Admission::RunCanary => return Permission::Canary(fingerprint),
+                Admission::RunCanary => {
+                    let hedging = true;
+                    return Permission::Canary {
+                        fingerprint,
+                        hedging,
+                    };
+                }
+                Admission::RunLastCanary => {
+                    let hedging = false;
+                    return Permission::Canary {
+                        fingerprint,
+                        hedging,
+                    };
+                }
                 Admission::Blocked => return Permission::Blocked(fingerprint),
                 Admission::Full => return Permission::Full,
                 Admission::WaitForCanary if SystemClock.now() >= deadline => {
@@ -174,7 +203,7 @@
     /// open, it would count as a crash after its time.
     fn close_local(&self, fingerprint: Fingerprint, admission: Admission) {
         let outcome = match admission {
-            Admission::RunCanary => return,
+            Admission::RunCanary | Admission::RunLastCanary => return,
             Admission::KnownGood => poison::Outcome::Ok,
             Admission::WaitForCanary | Admission::Blocked | Admission::Full => {
                 poison::Outcome::Survived
--- a/daemon/src/entry/run.rs
+++ b/daemon/src/entry/run.rs
@@ -41,8 +41,8 @@
 pub struct Finished {
     pub answer: Answer<Hits>,
     pub measurement: Measurement,
-    /// Whether the canary call crashed its server.
-    pub canary_crashed: bool,
+    /// How many servers the canary may have crashed.
+    pub canary_crashes: u32,
 }
 
 struct Run {
@@ -54,6 +54,7 @@
     subject: Subject,
     sender: Arc<Sender>,
     answer: Option<Answer<Hits>>,
+    canary_calls: u32,
     canary_crashed: bool,
     queued: Duration,
     results: u32,
@@ -86,6 +87,7 @@
         subject,
         sender,
         answer: None,
+        canary_calls: 0,
         canary_crashed: false,
         queued: Duration::ZERO,
         results: 0,
@@ -215,6 +217,7 @@
                 self.sender.recorder.record(kind, self.subject.clone());
             }
         }
+        self.canary_calls += u32::from(send.canary.is_some());
         self.leafs.push((send.call, send.leaf));
         let leaf = lock(&self.lane).leaf(send.leaf)?;
         Some(Call {
@@ -238,7 +241,12 @@
                 contents: Vec::new(),
             }),
             measurement: Measurement { duration, queueing },
-            canary_crashed: self.canary_crashed,
+            // A second call may crash its server after the first has ended the query.
+            canary_crashes: if self.canary_crashed {
+                self.canary_calls.min(2)
+            } else {
+                0
+            },
         }
     }
 }
--- a/daemon/src/entry/search.rs
+++ b/daemon/src/entry/search.rs
@@ -44,6 +44,13 @@
     idempotent: bool,
 }
 
+/// A request that runs on one leaf first.
+#[derive(Clone, Copy)]
+struct Canary {
+    fingerprint: Fingerprint,
+    hedging: bool,
+}
+
 impl Entry {
     /// Runs a checked request.
     pub(super) async fn search(&self, request: &Request, idempotent: bool) -> AnswerBody {
@@ -78,9 +85,9 @@
             Err(answer) => return answer,
         };
         let finished = self.run(request, service, &plan, canary).await;
-        if let Some(fingerprint) = canary {
+        if let Some(canary) = canary {
             let outcome = canary_outcome(finished.as_ref().ok());
-            self.canaries.finish(fingerprint, outcome).await;
+            self.canaries.finish(canary.fingerprint, outcome).await;
         }
         match finished {
             Ok(finished) => {
@@ -125,14 +132,20 @@
         request: &Request,
         service: &Service,
         plan: &Plan,
-    ) -> Result<Option<Fingerprint>, AnswerBody> {
+    ) -> Result<Option<Canary>, AnswerBody> {
         if !service.canary {
             return Ok(None);
         }
         let id = request.request_id.unwrap_or_default();
         match self.canaries.admit(plan.fingerprint, plan.deadline).await {
             Permission::Free => Ok(None),
-            Permission::Canary(fingerprint) => Ok(Some(fingerprint)),
+            Permission::Canary {
+                fingerprint,
+                hedging,
+            } => Ok(Some(Canary {
+                fingerprint,
+                hedging,
+            })),
             Permission::Blocked(fingerprint) => {
                 metrics::counter!("camphorhold_poison_refusals_total").increment(1);
                 let kind = Kind::PoisonBlocked { fingerprint };
@@ -153,7 +166,7 @@
         request: &Request,
         service: &Service,
         plan: &Plan,
-        canary: Option<Fingerprint>,
+        canary: Option<Canary>,
     ) -> Result<run::Finished, AnswerBody> {
         let id = request.request_id.unwrap_or_default();
         let lane = self.lanes.get(&request.service, &plan.choice.version);
@@ -171,10 +184,12 @@
             scope: &plan.scope,
             deadline: plan.deadline,
             idempotent: plan.idempotent,
-            hedging: service.hedging && !Baseline::NoHedging.is_chosen(),
+            hedging: service.hedging
+                && canary.is_none_or(|canary| canary.hedging)
+                && !Baseline::NoHedging.is_chosen(),
             minimum: service.partial.minimum,
             patience: service.partial.patience,
-            canary,
+            canary: canary.map(|canary| canary.fingerprint),
         };
         let wire = wire_query(request, plan, pin);
         let sender = Arc::clone(&self.sender);
@@ -235,7 +250,8 @@
 /// connection, so its server has not crashed under it.
 fn canary_outcome(finished: Option<&run::Finished>) -> instance::Outcome {
     match finished {
-        Some(finished) if finished.canary_crashed => instance::Outcome::Crashed,
+        Some(finished) if finished.canary_crashes > 1 => instance::Outcome::CrashedTwice,
+        Some(finished) if finished.canary_crashes == 1 => instance::Outcome::Crashed,
         Some(finished) => match finished.answer.outcome {
             query::Outcome::Answered => instance::Outcome::Ok,
             query::Outcome::NotRun(_) | query::Outcome::Unknown(_) => instance::Outcome::Survived,
--- a/lib/src/coordination/poison.rs
+++ b/lib/src/coordination/poison.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Counts the crashes that are remembered. A canary after a crash must not be hedged, because two
+    /// more servers would exceed [`CRASH_LIMIT`].
+    #[must_use]
+    pub fn crashes(&self, fingerprint: Fingerprint) -> u32 {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.map_or(0, |suspect| suspect.crashes)
+    }
+
     /// Takes the end of a canary. A report after [`CANARY_TIMEOUT`] changes nothing: its end has
     /// been counted.
     pub fn canary_finished(&mut self, fingerprint: Fingerprint, outcome: Outcome, now: Instant) {
--- a/lib/src/coordination/query/dispatch.rs
+++ b/lib/src/coordination/query/dispatch.rs
@@ -127,10 +127,7 @@
         actions: &mut Vec<Action<T>>,
     ) {
         let deadline = self.call_deadline();
-        let hedge_delay = context
-            .hedge
-            .get()
-            .filter(|_| self.hedging && self.canary.is_none());
+        let hedge_delay = context.hedge.get().filter(|_| self.hedging);
         let shard = &mut self.shards[position];
         let call = context.calls.begin(Call {
             query: self.id,
--- a/lib/src/protocol/instance.rs
+++ b/lib/src/protocol/instance.rs
@@ -106,8 +106,10 @@
 pub enum Admission {
     /// On all its leafs at once.
     KnownGood,
-    /// On one leaf first.
+    /// On one leaf first; a straggling call may be hedged.
     RunCanary,
+    /// On one leaf first, and on no other before that has ended: it crashed a server already.
+    RunLastCanary,
     /// Not before the canary that is running has ended.
     WaitForCanary,
     /// Not at all: it crashed too many servers.
@@ -136,6 +138,8 @@
     Ok,
     /// The server's connection was lost while it ran.
     Crashed,
+    /// The same, while a second call to another server was in flight or had been.
+    CrashedTwice,
     /// It was not answered, and the server survived it.
     Survived,
     /// Nothing is known.
@@ -146,7 +150,7 @@
     fn from(outcome: Outcome) -> Self {
         match outcome {
             Outcome::Ok => Self::Ok,
-            Outcome::Crashed => Self::Crashed,
+            Outcome::Crashed | Outcome::CrashedTwice => Self::Crashed,
             Outcome::Survived => Self::Survived,
             Outcome::Unclear => Self::Unclear,
         }
--- a/lib/tests/entry_parts.rs
+++ b/lib/tests/entry_parts.rs
@@ -183,7 +183,7 @@
 
 /// Guards against hedging before there is a basis, and against a wrong quantile.
 #[test]
-fn hedge_delay_is_the_95th_percentile_from_100_samples_on() {
+fn hedge_delay_is_the_97th_percentile_from_100_samples_on() {
     let now = Instant::now();
     let mut delay = Delay::new(now);
     for millis in 1..hedge::MIN_SAMPLES {
@@ -192,7 +192,7 @@
     }
     delay.record(now, Duration::from_millis(100));
     let measured = delay.get().expect("there are 100 samples");
-    assert!((94..=96).contains(&measured.as_millis()), "{measured:?}");
+    assert!((96..=98).contains(&measured.as_millis()), "{measured:?}");
 }
 
 /// Guards against a delay that never forgets a slow period.
--- a/lib/tests/entry_query_failures.rs
+++ b/lib/tests/entry_query_failures.rs
@@ -164,8 +164,12 @@
 }
 
 fn canary() -> Run {
+    canary_with_budget(5)
+}
+
+fn canary_with_budget(extra_calls: u32) -> Run {
     let mut entry = Entry::new(3, 2, 1);
-    entry.warm_up(NORMAL, 5);
+    entry.warm_up(NORMAL, extra_calls);
     let scope = scope(3);
     let request = Request {
         canary: Some(Fingerprint(9)),
@@ -196,6 +200,21 @@
     assert_eq!(run.end().outcome, Outcome::Unknown(Reason::CanaryReset));
 }
 
+/// Guards against a query that waits for a straggling canary until its deadline: with 1 in 100 calls
+/// straggling, that was the p99 of all queries.
+#[test]
+fn a_straggling_canary_is_hedged() {
+    let mut run = canary_with_budget(30);
+    let first = run.sends()[0];
+    run.wait(NORMAL * 4);
+    let second = run.sends()[1];
+    assert_eq!(second.kind, Kind::Hedge);
+    assert_eq!(second.canary, Some(Fingerprint(9)));
+    assert_ne!(second.leaf, first.leaf);
+    run.answer(&second).expect("it matches");
+    assert_eq!(run.sends().len(), 4);
+}
+
 /// Guards against a query that waits for a canary on a shard that nobody serves.
 #[test]
 fn a_canary_moves_on_when_its_shard_is_given_up() {
