tests, examples: read time through the clock interface

Tests, benches and the measuring programs read the operating system's clocks directly; they now use SystemClock like the rest. Assertions and bounds are as they were.

--- a/daemon/tests/process/graceful_shutdown.rs
+++ b/daemon/tests/process/graceful_shutdown.rs
@@ -5,6 +5,8 @@
 use std::time::Instant;
 
 use camphorhold::coordination::shutdown::BOUND;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use camphorhold_testutils::backend::Change;
 use camphorhold_testutils::backend::Fault;
 use camphorhold_testutils::backend::Misbehaviour;
@@ -38,7 +40,7 @@
         ..Change::default()
     });
     let mut leaving = cluster.instances.remove(0);
-    let signalled = Instant::now();
+    let signalled = SystemClock.now();
     leaving.signal(Signal::SIGTERM);
     wait_until("readiness is off", || async {
         leaving.probe("/readyz").await == Some(503)
--- a/daemon/tests/process/instance_paused.rs
+++ b/daemon/tests/process/instance_paused.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
 use camphorhold::protocol::caller::Outcome;
 use camphorhold::state::id::InstanceId;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use futures::future::join_all;
 use nix::sys::signal::Signal;
 use serde_json::Value;
@@ -55,7 +56,7 @@
     })
     .await;
     paused.signal(Signal::SIGSTOP);
-    let stopped = Instant::now();
+    let stopped = SystemClock.now();
     let waiting = send_waiting(paused.addresses.caller);
     let bounded = tokio::spawn(send_bounded(others[0]));
     let options = Options {
--- a/daemon/tests/process/store_outage.rs
+++ b/daemon/tests/process/store_outage.rs
@@ -4,6 +4,8 @@
 use camphorhold::protocol::control::Currency;
 use camphorhold::protocol::control::Refusal;
 use camphorhold::state::id::Revision;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use camphorhold_testutils::store::Fault;
 use camphorhold_testutils::store::Outage;
 
@@ -156,7 +158,7 @@
     cluster.instances.push(fresh);
     cluster.list_all();
     let fresh = &cluster.instances[0];
-    let started = std::time::Instant::now();
+    let started = SystemClock.now();
     while started.elapsed() < WATCH_TIME {
         assert_eq!(fresh.probe("/readyz").await, Some(503));
         let request = query::search("too early");
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -6,8 +6,9 @@
 pub mod query;
 pub mod stream;
 
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use std::time::Duration;
-use std::time::Instant;
 
 /// The overall limit of each wait. It only ends a test that has failed.
 const LIMIT: Duration = Duration::from_mins(1);
@@ -25,7 +26,7 @@
     F: FnMut() -> Fut,
     Fut: Future<Output = Option<T>>,
 {
-    let started = Instant::now();
+    let started = SystemClock.now();
     loop {
         if let Some(value) = condition().await {
             return value;
--- a/daemon/tests/support/query.rs
+++ b/daemon/tests/support/query.rs
@@ -6,6 +6,8 @@
 use camphorhold::protocol::caller::AnswerBody;
 use camphorhold::protocol::caller::Outcome;
 use camphorhold::state::id::RequestId;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use camphorhold_testutils::backend::Hit;
 use camphorhold_testutils::backend::expected_hits;
 use camphorhold_testutils::client;
@@ -38,7 +40,7 @@
 
 /// Milliseconds since the Unix epoch.
 pub fn unix_ms() -> u64 {
-    let now = std::time::SystemTime::now();
+    let now = SystemClock.wall();
     camphorhold::state::time::unix_millis(now)
 }
 
--- a/lib/benches/entry.rs
+++ b/lib/benches/entry.rs
@@ -29,6 +29,8 @@
 use camphorhold::state::id::PartitionId;
 use camphorhold::state::id::ShardId;
 use camphorhold::state::id::SnapshotId;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use criterion::Criterion;
 use criterion::Throughput;
 use criterion::criterion_group;
@@ -57,7 +59,7 @@
 
 impl Fixture {
     fn new() -> Self {
-        let now = Instant::now();
+        let now = SystemClock.now();
         let shards: Vec<ShardId> = (0..SHARDS * REPLICAS)
             .map(|leaf| ShardId(leaf % SHARDS))
             .collect();
--- a/lib/benches/owner.rs
+++ b/lib/benches/owner.rs
@@ -29,6 +29,8 @@
 use camphorhold::state::id::SnapshotId;
 use camphorhold::state::size::Connections;
 use camphorhold::state::size::Slots;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
@@ -59,8 +61,8 @@
         };
         let mut bench = Self {
             leaf: Leaf::new(policy),
-            now: Instant::now(),
-            wall: SystemTime::now(),
+            now: SystemClock.now(),
+            wall: SystemClock.wall(),
             next: 0,
             actions: Vec::with_capacity(64),
             holds: [SnapshotId(1), SnapshotId(2)].into(),
--- a/lib/examples/control_costs/main.rs
+++ b/lib/examples/control_costs/main.rs
@@ -12,7 +12,6 @@
 use std::hint::black_box;
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 
 use camphorhold::coordination::call::CallId;
@@ -48,6 +47,8 @@
 use camphorhold::state::record::Record;
 use camphorhold::state::size::Connections;
 use camphorhold::state::size::Slots;
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use camphorhold::state::view::Temperature;
 use rand::Rng;
 use rand::SeedableRng;
@@ -69,7 +70,7 @@
     let mut shortest = Duration::MAX;
     let mut result = None;
     for _ in 0..RUNS {
-        let started = Instant::now();
+        let started = SystemClock.now();
         result = Some(black_box(step()));
         shortest = shortest.min(started.elapsed());
     }
@@ -161,7 +162,7 @@
 }
 
 fn tables(record: &Record, file: &File, leafs: usize) -> assignment::Table {
-    let now = Instant::now();
+    let now = SystemClock.now();
     let handover = Handover {
         wait: Duration::from_millis(3500),
         check_releases: true,
@@ -197,7 +198,7 @@
 fn lanes(file: &File, ownership: &assignment::Table) {
     let leafs: Vec<_> = file.leafs().map(|(_, _, leaf)| leaf.clone()).collect();
     let shards: Vec<_> = leafs.iter().map(|leaf| leaf.shard).collect();
-    let now = Instant::now();
+    let now = SystemClock.now();
     let mut table = replica::Table::new(10_000, &shards, now);
     let drains: BTreeSet<LeafId> = BTreeSet::new();
     let held = [SnapshotId(1), SnapshotId(2)];
@@ -248,7 +249,7 @@
 fn views(leafs: usize) {
     let domain = DOMAINS[0].parse().expect("valid");
     let settings = Settings::new(SocketAddr::from(([10, 0, 0, 1], 7400)), domain);
-    let (now, wall) = (Instant::now(), SystemTime::UNIX_EPOCH);
+    let (now, wall) = (SystemClock.now(), SystemTime::UNIX_EPOCH);
     let mut machine = Machine::new(settings, SEED, now);
     let mut version = 0;
     let mut give = |leaf: usize, version| {
@@ -283,14 +284,14 @@
     let count = u32::try_from(leafs.div_ceil(2)).unwrap_or(u32::MAX);
     let mut table = None;
     let info = allocation_counter::measure(|| {
-        table = Some(replica::Table::new(count, &shards, Instant::now()));
+        table = Some(replica::Table::new(count, &shards, SystemClock.now()));
     });
     println!(
         "replica table of an entry instance: {} bytes",
         info.bytes_current
     );
     timed("replica table, built anew", || {
-        replica::Table::new(count, &shards, Instant::now())
+        replica::Table::new(count, &shards, SystemClock.now())
     });
     drop(table);
 }
