--- /dev/null
+++ b/instance/src/follower.rs
@@ -0,0 +1,283 @@
+//! Follows the platform's store: configuration, leafs, evacuations, instances.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use camphorhold::coordination::serving::instances::Instances;
+use camphorhold_platform::key::Key;
+use camphorhold_platform::leaf;
+use camphorhold_platform::plan;
+use camphorhold_platform::store::Event;
+use camphorhold_platform::store::Item;
+use camphorhold_platform::store::Listing;
+use camphorhold_platform::store::Store;
+use camphorhold_platform::store::StoreError;
+
+use crate::shared::Phase;
+use crate::shared::Shared;
+
+/// How long one watch waits. A dead connection is noticed by probes, not by this.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Pause after changes, so that a burst of them is read with a few calls. Calls are billed, and the
+/// tightest bound on a change is 3 s.
+const BATCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pauses after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// Calls that fail for less than this are no outage; entries do not lapse within it.
+const OUTAGE_AFTER: Duration = Duration::from_millis(900);
+
+/// Entries that lapsed during an outage are back within about 2 s of its end.
+const LAPSE_HOLD: Duration = Duration::from_millis(2_300);
+
+/// The state of following the store.
+pub struct Follower {
+    shared: Rc<Shared>,
+    store: Store,
+    // The newest revision applied of each item, so that a page does not undo a later change.
+    revisions: HashMap<Box<str>, u64>,
+    instances: RefCell<Instances>,
+    failing_since: Option<Instant>,
+    // Until when leafs without an entry are kept.
+    lapse_until: Option<Instant>,
+}
+
+impl Follower {
+    /// Creates a follower that has read nothing.
+    pub fn new(shared: Rc<Shared>) -> Self {
+        let store = Store::new(shared.settings.store);
+        Self {
+            shared,
+            store,
+            revisions: HashMap::new(),
+            instances: RefCell::default(),
+            failing_since: None,
+            lapse_until: None,
+        }
+    }
+
+    /// Follows the store, for as long as the process runs.
+    pub async fn run(mut self) {
+        let mut pause = FIRST_PAUSE;
+        let mut known = None;
+        loop {
+            let result = match known {
+                None => self.read_all().await,
+                Some(revision) => self.read_changes(revision).await,
+            };
+            match result {
+                Ok(revision) => {
+                    known = Some(revision);
+                    pause = FIRST_PAUSE;
+                }
+                Err(StoreError::Compacted) => {
+                    log::info!(revision:? = known; "the store's history is gone, reading everything");
+                    known = None;
+                }
+                Err(error) => {
+                    self.on_failure(&error);
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn on_failure(&mut self, error: &StoreError) {
+        metrics::counter!("camphorhold_store_calls_total", "outcome" => "failed").increment(1);
+        if self.failing_since.is_none() {
+            self.failing_since = Some(self.shared.now());
+            log::warn!(error:% = error, config_version = self.shared.plan_version(); "lost the store");
+        }
+    }
+
+    fn on_success(&mut self) {
+        metrics::counter!("camphorhold_store_calls_total", "outcome" => "ok").increment(1);
+        let Some(since) = self.failing_since.take() else {
+            return;
+        };
+        let now = self.shared.now();
+        let outage = now.saturating_duration_since(since);
+        if outage >= OUTAGE_AFTER {
+            self.lapse_until = Some(now + LAPSE_HOLD);
+        }
+        let outage_ms = u64::try_from(outage.as_millis()).unwrap_or(u64::MAX);
+        log::info!(outage_ms = outage_ms; "regained the store");
+    }
+
+    async fn read_all(&mut self) -> Result<u64, StoreError> {
+        let listing = self.store.list("").await?;
+        self.on_success();
+        self.apply_listing(&listing);
+        Ok(listing.revision)
+    }
+
+    async fn read_changes(&mut self, revision: u64) -> Result<u64, StoreError> {
+        let changes = self.store.watch(revision, WATCH_WAIT).await?;
+        self.on_success();
+        let any = !changes.events.is_empty();
+        // Only the last change of an item matters.
+        let mut last = HashMap::new();
+        for event in &changes.events {
+            let key = match event {
+                Event::Written(item) => &item.key,
+                Event::Removed { key, .. } => key,
+            };
+            last.insert(key, event);
+        }
+        for event in last.into_values() {
+            self.apply(event);
+        }
+        self.after_changes();
+        if any {
+            tokio::time::sleep(BATCH_PAUSE).await;
+        }
+        Ok(changes.revision)
+    }
+
+    fn apply_listing(&mut self, listing: &Listing) {
+        let present: HashSet<&str> = listing.items.iter().map(|item| &*item.key).collect();
+        let gone: Vec<Box<str>> = self
+            .revisions
+            .keys()
+            .filter(|key| !present.contains(&***key))
+            .cloned()
+            .collect();
+        for key in gone {
+            self.revisions.remove(&key);
+            self.on_removed(&key);
+        }
+        for item in &listing.items {
+            self.on_item(item);
+        }
+        self.after_changes();
+        log::info!(
+            revision = listing.revision,
+            items = listing.items.len(),
+            leafs = self.shared.fleet.borrow().len(),
+            config_version = self.shared.plan_version();
+            "read the store"
+        );
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match event {
+            Event::Written(item) => self.on_item(item),
+            Event::Removed { key, revision } => {
+                if self.revisions.get(key).is_none_or(|known| known < revision) {
+                    self.revisions.remove(key);
+                    self.on_removed(key);
+                }
+            }
+        }
+    }
+
+    fn on_item(&mut self, item: &Item) {
+        if self.revisions.get(&item.key) >= Some(&item.revision) {
+            return;
+        }
+        self.revisions.insert(item.key.clone(), item.revision);
+        let value = item.value.as_deref();
+        match Key::parse(&item.key) {
+            Key::Configuration => self.on_configuration(value, item.revision),
+            Key::Leaf(id) => self.on_leaf(id, value, item.revision),
+            Key::Evacuation(domain) => self.on_evacuation(domain, true),
+            Key::Instance(name) => self.instances.borrow_mut().add(name),
+            Key::RolloutOrder(_) | Key::RolloutState(_) | Key::Other => {}
+        }
+    }
+
+    fn on_removed(&mut self, key: &str) {
+        let now = self.shared.now();
+        match Key::parse(key) {
+            Key::Leaf(id) => {
+                let keep_until = self.lapse_until.filter(|until| *until > now);
+                self.shared.fleet.borrow_mut().remove(id, keep_until);
+                log::info!(leaf = id, kept = keep_until.is_some(); "leaf entry removed");
+            }
+            Key::Evacuation(domain) => self.on_evacuation(domain, false),
+            Key::Instance(name) => self.instances.borrow_mut().remove(name, now),
+            Key::Configuration | Key::RolloutOrder(_) | Key::RolloutState(_) | Key::Other => {}
+        }
+    }
+
+    fn on_configuration(&self, value: Option<&[u8]>, revision: u64) {
+        let plan = match value.map(plan::read) {
+            Some(Ok(plan)) => plan,
+            Some(Err(error)) => {
+                log::error!(revision = revision, error:% = error; "configuration not usable, the one in force stays");
+                return;
+            }
+            None => {
+                log::error!(revision = revision; "configuration not readable, the one in force stays");
+                return;
+            }
+        };
+        let before = self.shared.plan_version();
+        if plan.version() <= before {
+            log::info!(version = plan.version(), in_force = before; "older configuration ignored");
+            return;
+        }
+        log::info!(
+            version = plan.version(),
+            before = before,
+            routes = plan.route_count(),
+            revision = revision;
+            "configuration in force"
+        );
+        self.shared.prune(&plan);
+        *self.shared.plan.borrow_mut() = Some(Arc::new(plan));
+    }
+
+    fn on_leaf(&self, id: &str, value: Option<&[u8]>, revision: u64) {
+        let mut fleet = self.shared.fleet.borrow_mut();
+        match value.map(|value| leaf::read(id, value)) {
+            Some(Ok(entry)) => {
+                log::info!(
+                    leaf = id,
+                    service = &*entry.service,
+                    standing:? = entry.standing,
+                    cold_ms = u64::try_from(entry.cold_left.as_millis()).unwrap_or(u64::MAX),
+                    revision = revision;
+                    "leaf entry"
+                );
+                fleet.update(entry, self.shared.now());
+            }
+            Some(Err(error)) => {
+                log::warn!(leaf = id, error:% = error; "leaf entry ignored");
+                fleet.remove(id, None);
+            }
+            None => {
+                log::warn!(leaf = id; "leaf entry is not base64, ignored");
+                fleet.remove(id, None);
+            }
+        }
+    }
+
+    fn on_evacuation(&self, domain: &str, evacuated: bool) {
+        log::info!(domain = domain, evacuated = evacuated; "evacuation");
+        let mut fleet = self.shared.fleet.borrow_mut();
+        fleet.set_evacuated(domain, evacuated);
+    }
+
+    fn after_changes(&self) {
+        let now = self.shared.now();
+        let count = self.instances.borrow().count(now);
+        if count > 0 {
+            self.shared.set_instances(count);
+        }
+        let known = self.shared.plan.borrow().is_some() && !self.shared.fleet.borrow().is_empty();
+        if known && self.shared.phase.get() == Phase::Starting {
+            self.shared.phase.set(Phase::Serving);
+            log::info!(config_version = self.shared.plan_version(); "ready");
+        }
+    }
+}
--- /dev/null
+++ b/instance/src/logging.rs
@@ -0,0 +1,128 @@
+//! Structured log lines on standard output that never block a request.
+//!
+//! Lines go through a bounded queue to a thread that writes them in batches. When the queue or the
+//! rate per second is full, lines of level info and below are dropped first; what was dropped is
+//! counted in a line of its own.
+
+use std::io::Write;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::FlexiLoggerError;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
+use flexi_logger::writers::LogWriter;
+use log::Record;
+
+/// Lines that wait to be written. At some 300 bytes a line this bounds the queue to about 1 MB.
+const QUEUE_LINES: usize = 4_096;
+
+/// Lines per batch interval; beyond it, lines below the level warn are dropped.
+const BATCH_LINES: u64 = 100;
+
+/// Pause between two writes. A write costs a system call and a wake-up, whatever its length.
+const BATCH_INTERVAL: Duration = Duration::from_millis(200);
+
+struct Queue {
+    lines: SyncSender<Vec<u8>>,
+    in_batch: AtomicU64,
+    dropped: AtomicU64,
+}
+
+impl LogWriter for Queue {
+    fn write(&self, now: &mut DeferredNow, record: &Record) -> std::io::Result<()> {
+        let used = self.in_batch.fetch_add(1, Ordering::Relaxed);
+        if used >= BATCH_LINES && record.level() > log::Level::Warn {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut line = Vec::with_capacity(256);
+        flexi_logger::json_format(&mut line, now, record)?;
+        line.push(b'\n');
+        if self.lines.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines until the process ends.
+fn write_lines(queue: &'static Queue, lines: &Receiver<Vec<u8>>, flushed: &Mutex<()>) {
+    while let Ok(first) = lines.recv() {
+        std::thread::park_timeout(BATCH_INTERVAL);
+        let _writing = flushed.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut batch = first;
+        while let Ok(line) = lines.try_recv() {
+            batch.extend_from_slice(&line);
+        }
+        queue.in_batch.store(0, Ordering::Relaxed);
+        let dropped = queue.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            metrics::counter!("camphorhold_log_lines_dropped_total").increment(dropped);
+            let note = format!("{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"dropped\":{dropped}}}\n");
+            batch.extend_from_slice(note.as_bytes());
+        }
+        let mut output = std::io::stdout().lock();
+        // Without a reader there is nobody to tell.
+        let _ = output.write_all(&batch).and_then(|()| output.flush());
+    }
+}
+
+struct Shared(&'static Queue);
+
+impl LogWriter for Shared {
+    fn write(&self, now: &mut DeferredNow, record: &Record) -> std::io::Result<()> {
+        self.0.write(now, record)
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        self.0.flush()
+    }
+}
+
+/// Writes out the last lines before the process ends.
+#[derive(Clone, Copy)]
+pub struct Flush {
+    thread: &'static std::thread::Thread,
+}
+
+impl Flush {
+    /// Writes what is queued, and waits at most two batch intervals for it.
+    pub fn flush(self) {
+        self.thread.unpark();
+        std::thread::park_timeout(BATCH_INTERVAL / 4);
+    }
+}
+
+/// Starts logging at the levels of a `flexi_logger` specification.
+///
+/// # Errors
+///
+/// Returns an error for a specification that cannot be read.
+pub fn start(specification: &str) -> Result<(LoggerHandle, Flush), FlexiLoggerError> {
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
+    let queue: &'static Queue = Box::leak(Box::new(Queue {
+        lines: sender,
+        in_batch: AtomicU64::new(0),
+        dropped: AtomicU64::new(0),
+    }));
+    let handle = Logger::try_with_str(specification)?
+        .log_to_writer(Box::new(Shared(queue)))
+        .start()?;
+    let writer = std::thread::Builder::new()
+        .name("log".into())
+        .spawn(move || write_lines(queue, &receiver, &Mutex::new(())))?;
+    let thread = Box::leak(Box::new(writer.thread().clone()));
+    Ok((handle, Flush { thread }))
+}
--- /dev/null
+++ b/instance/src/main.rs
@@ -0,0 +1,60 @@
+//! `camphorhold-instance`: one instance of the query tier on the users' platform.
+
+mod call;
+mod exposition;
+mod follower;
+mod logging;
+mod merge;
+mod pool;
+mod process;
+mod registration;
+mod request;
+mod server;
+mod shared;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use camphorhold_platform::settings::PATH_VARIABLE;
+use camphorhold_platform::settings::Settings;
+use clap::Parser;
+use miette::IntoDiagnostic;
+
+/// The exit code for settings that cannot be used, and for addresses that are taken.
+const EXIT_BAD_SETTINGS: u8 = 2;
+
+/// One instance of the camphorhold query tier.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// The settings file of the platform.
+    #[arg(long, env = PATH_VARIABLE)]
+    settings: PathBuf,
+    /// The port on which metrics are served, at the address for callers.
+    #[arg(long, default_value_t = 7390)]
+    metrics_port: u16,
+    /// What is logged, as a `flexi_logger` specification.
+    #[arg(long, default_value = "info")]
+    log: String,
+}
+
+fn main() -> ExitCode {
+    match run(&Arguments::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(EXIT_BAD_SETTINGS)
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> miette::Result<()> {
+    let settings = Settings::read(&arguments.settings).into_diagnostic()?;
+    let (_logger, flush) = logging::start(&arguments.log).into_diagnostic()?;
+    let metrics_address = SocketAddr::new(settings.callers.ip(), arguments.metrics_port);
+    let handle = exposition::install().into_diagnostic()?;
+    let result = process::run(settings, &arguments.settings, (metrics_address, handle));
+    flush.flush();
+    Ok(result?)
+}
--- /dev/null
+++ b/instance/src/process.rs
@@ -0,0 +1,151 @@
+//! Starts the parts of an instance and ends them in order.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorhold::coordination::serving::shutdown::Shutdown;
+use camphorhold::state::time::SystemClock;
+use camphorhold_platform::settings::Settings;
+use metrics_exporter_prometheus::PrometheusHandle;
+use thiserror::Error;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::LocalSet;
+
+use crate::exposition;
+use crate::follower::Follower;
+use crate::registration;
+use crate::server;
+use crate::server::Connections;
+use crate::shared::Phase;
+use crate::shared::Shared;
+
+/// How often idle connections and lapsed leafs are looked for.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How often a shutdown looks at the requests in progress.
+const SHUTDOWN_TICK: Duration = Duration::from_millis(25);
+
+/// Time for the last answers to leave.
+const FLUSH_TIME: Duration = Duration::from_millis(60);
+
+/// Why an instance cannot start.
+#[derive(Debug, Error, miette::Diagnostic)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system says.
+        source: std::io::Error,
+    },
+    /// The runtime or a signal handler cannot be created.
+    #[error("cannot start: {0}")]
+    Runtime(#[from] std::io::Error),
+}
+
+/// Runs an instance until it is asked to end.
+///
+/// # Errors
+///
+/// Returns an error if the instance cannot start.
+pub fn run(
+    settings: Settings,
+    path: &Path,
+    metrics: (SocketAddr, PrometheusHandle),
+) -> Result<(), StartError> {
+    // One thread: an instance has a part of one core, and state without locks.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, serve(settings, path, metrics))
+}
+
+async fn serve(
+    settings: Settings,
+    path: &Path,
+    metrics: (SocketAddr, PrometheusHandle),
+) -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let callers = listen(settings.callers)?;
+    let readiness = listen(settings.readiness)?;
+    log::info!(
+        instance = &*settings.name,
+        domain = &*settings.domain,
+        callers:% = settings.callers;
+        "started"
+    );
+    let shared = Rc::new(Shared::new(settings, Box::new(SystemClock)));
+    let connections = Rc::new(Connections::default());
+    tokio::task::spawn_local(Follower::new(Rc::clone(&shared)).run());
+    tokio::task::spawn_local(registration::run(Rc::clone(&shared)));
+    tokio::task::spawn_local(server::serve_readiness(Rc::clone(&shared), readiness));
+    tokio::task::spawn_local(server::serve_callers(
+        Rc::clone(&shared),
+        Rc::clone(&connections),
+        callers,
+    ));
+    tokio::task::spawn_local(exposition::serve(metrics.0, metrics.1));
+    tokio::task::spawn_local(sweep(Rc::clone(&shared), Rc::clone(&connections)));
+    wait_for_end(&mut terminate, &mut reload, &shared, path).await;
+    stop(&shared, &connections).await;
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, StartError> {
+    server::listen(address).map_err(|source| StartError::Listen { address, source })
+}
+
+async fn wait_for_end(
+    terminate: &mut Signal,
+    reload: &mut Signal,
+    shared: &Shared,
+    path: &Path,
+) {
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = reload.recv() => check_settings(shared, path),
+        }
+    }
+}
+
+/// Reads the settings file after a change. Addresses and names hold for the life of a process, so
+/// nothing of a running instance depends on the rest.
+fn check_settings(shared: &Shared, path: &Path) {
+    match Settings::read(path) {
+        Ok(settings) if settings == shared.settings => log::info!("settings read, unchanged"),
+        Ok(_) => log::info!("settings read; changes take effect at the next start"),
+        Err(error) => log::error!(error:% = error; "settings not usable, the old ones stay"),
+    }
+}
+
+async fn sweep(shared: Rc<Shared>, connections: Rc<Connections>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        let now = shared.now();
+        for leaf in shared.fleet.borrow_mut().expire(now) {
+            log::info!(leaf = &*leaf; "leaf entry did not come back");
+        }
+        shared.pool.sweep(&shared.fleet.borrow(), now);
+        let limits = shared.plan.borrow().as_ref().map(|plan| plan.limits());
+        connections.sweep(limits, now);
+    }
+}
+
+async fn stop(shared: &Shared, connections: &Connections) {
+    shared.phase.set(Phase::Stopping);
+    let shutdown = Shutdown::new(shared.now(), shared.settings.grace);
+    log::info!(in_progress = shared.in_progress.get(), connections = connections.len(); "stopping");
+    while !shutdown.is_over(shared.now(), shared.in_progress.get()) {
+        tokio::time::sleep(SHUTDOWN_TICK).await;
+    }
+    connections.close_all();
+    tokio::time::sleep(FLUSH_TIME).await;
+    log::info!(in_progress = shared.in_progress.get(); "stopped");
+}
--- /dev/null
+++ b/instance/src/registration.rs
@@ -0,0 +1,68 @@
+//! Registers the instance in the store, so that the others know how many there are.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorhold_platform::key;
+use camphorhold_platform::store::Lease;
+use camphorhold_platform::store::Store;
+use camphorhold_platform::store::StoreError;
+use camphorhold_platform::store::Write;
+
+use crate::shared::Shared;
+
+/// The lifetime of a registration: the longest that the store permits. The others count an
+/// instance for a while after its end anyway, so a short one would only cost renewals.
+const LIFETIME: Duration = Duration::from_secs(600);
+
+/// Renewals per lifetime.
+const RENEWALS: u32 = 5;
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Keeps the registration alive, for as long as the process runs.
+pub async fn run(shared: Rc<Shared>) {
+    let mut store = Store::new(shared.settings.store);
+    let key = key::instance(&shared.settings.name);
+    loop {
+        match register(&mut store, &key).await {
+            Ok(lease) => {
+                log::info!(key = key; "registered");
+                renew(&mut store, lease).await;
+                log::warn!(key = key; "registration ended");
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "cannot register");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn register(store: &mut Store, key: &str) -> Result<Lease, StoreError> {
+    let lease = store.grant(LIFETIME).await?;
+    store
+        .write(Write {
+            key,
+            value: b"{}",
+            lease: Some(lease.id),
+            expected: None,
+        })
+        .await?;
+    Ok(lease)
+}
+
+/// Renews a lease until it has ended.
+async fn renew(store: &mut Store, lease: Lease) {
+    loop {
+        tokio::time::sleep(lease.lifetime / RENEWALS).await;
+        while let Err(error) = store.renew(lease.id).await {
+            if matches!(error, StoreError::NotFound) {
+                return;
+            }
+            log::warn!(error:% = error; "cannot renew the registration");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/instance/src/server.rs
@@ -0,0 +1,305 @@
+//! Connections of callers and of the load balancer.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use camphorhold::state::plan::Limits;
+use camphorhold_platform::header;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use slab::Slab;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use crate::request;
+use crate::request::Origin;
+use crate::shared::Phase;
+use crate::shared::Shared;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// The smallest read buffer that the HTTP library accepts.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+/// Room beside the head in the read buffer, for the start of a body.
+const BUFFER_SLACK_BYTES: usize = 1 << 10;
+
+/// The read buffer before a configuration is known.
+const DEFAULT_HEADER_BYTES: usize = 16 << 10;
+
+/// Time given to half-sent heads and idle connections before a configuration is known.
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Pause after a failed accept, which otherwise would be repeated at once.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What is known of a caller's connection.
+#[derive(Debug)]
+struct Activity {
+    busy: Cell<bool>,
+    // When the last answer was ready, or the connection was accepted.
+    idle_since: Cell<Instant>,
+    // When the first byte after that arrived.
+    head_since: Cell<Option<Instant>>,
+    close: Notify,
+}
+
+/// The open connections of callers.
+#[derive(Debug, Default)]
+pub struct Connections {
+    open: RefCell<Slab<Rc<Activity>>>,
+}
+
+impl Connections {
+    /// Closes connections that stayed idle for too long or whose request head does not arrive.
+    pub fn sweep(&self, limits: Option<Limits>, now: Instant) {
+        let header_timeout = limits.map_or(DEFAULT_HEADER_TIMEOUT, |limits| limits.header_timeout);
+        let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
+        for (_, activity) in self.open.borrow().iter() {
+            if activity.busy.get() {
+                continue;
+            }
+            let expired = match activity.head_since.get() {
+                Some(since) => now.saturating_duration_since(since) > header_timeout,
+                None => {
+                    now.saturating_duration_since(activity.idle_since.get()) > idle_timeout
+                }
+            };
+            if expired {
+                activity.close.notify_one();
+            }
+        }
+    }
+
+    /// Closes every connection once its request has ended.
+    pub fn close_all(&self) {
+        for (_, activity) in self.open.borrow().iter() {
+            activity.close.notify_one();
+        }
+    }
+
+    /// Counts the open connections.
+    pub fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+}
+
+/// A stream that records when bytes arrive.
+struct Watched {
+    stream: TcpStream,
+    shared: Rc<Shared>,
+    activity: Rc<Activity>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let received = buffer.filled().len() > before;
+        if received && !self.activity.busy.get() && self.activity.head_since.get().is_none() {
+            self.activity.head_since.set(Some(self.shared.now()));
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// Listens on an address that an earlier process may just have left.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be listened on.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts callers' connections, for as long as the process runs.
+pub async fn serve_callers(
+    shared: Rc<Shared>,
+    connections: Rc<Connections>,
+    listener: TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let task = serve_caller(Rc::clone(&shared), Rc::clone(&connections), stream);
+                tokio::task::spawn_local(task);
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "cannot accept a caller's connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(shared: Rc<Shared>, connections: Rc<Connections>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "a caller's connection closed before its first request");
+        return;
+    }
+    let activity = Rc::new(Activity {
+        busy: Cell::new(false),
+        idle_since: Cell::new(shared.now()),
+        head_since: Cell::new(None),
+        close: Notify::new(),
+    });
+    let key = connections.open.borrow_mut().insert(Rc::clone(&activity));
+    let stream = Watched {
+        stream,
+        shared: Rc::clone(&shared),
+        activity: Rc::clone(&activity),
+    };
+    let header_bytes = shared
+        .plan
+        .borrow()
+        .as_ref()
+        .map_or(DEFAULT_HEADER_BYTES, |plan| plan.limits().header_bytes);
+    let first = Cell::new(true);
+    let service = service_fn(|request| {
+        serve_request(&shared, &activity, request, first.replace(false))
+    });
+    let connection = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size((header_bytes + BUFFER_SLACK_BYTES).max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = activity.close.notified() => {
+            if activity.busy.get() || activity.head_since.get().is_none() {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            } else {
+                // Half a head has arrived, and the rest did not follow in time.
+                Ok(())
+            }
+        }
+    };
+    if let Err(error) = result {
+        log::debug!(error:% = error; "a caller's connection broke");
+    }
+    connections.open.borrow_mut().remove(key);
+}
+
+async fn serve_request(
+    shared: &Rc<Shared>,
+    activity: &Activity,
+    request: Request<Incoming>,
+    first: bool,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let now = shared.now();
+    activity.busy.set(true);
+    let origin = Origin {
+        arrived: activity.head_since.take().unwrap_or(now),
+        first,
+    };
+    let mut response = request::handle(Rc::clone(shared), request, origin).await;
+    if shared.phase.get() == Phase::Stopping {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    activity.idle_since.set(shared.now());
+    activity.busy.set(false);
+    Ok(response)
+}
+
+/// Tells the load balancer whether the instance takes requests, for as long as the process runs.
+pub async fn serve_readiness(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shared = Rc::clone(&shared);
+                tokio::task::spawn_local(async move {
+                    let service = service_fn(|request| {
+                        let response = readiness(&shared, &request);
+                        std::future::ready(Ok::<_, Infallible>(response))
+                    });
+                    let connection = http1::Builder::new()
+                        .header_read_timeout(None)
+                        .serve_connection(TokioIo::new(stream), service);
+                    if let Err(error) = connection.await {
+                        log::debug!(error:% = error; "a readiness check broke");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "cannot accept a readiness check");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn readiness(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = if request.uri().path() != header::READY_PATH {
+        StatusCode::NOT_FOUND
+    } else if shared.phase.get() == Phase::Serving {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    response
+}
--- /dev/null
+++ b/instance/src/shared.rs
@@ -0,0 +1,207 @@
+//! What the tasks of an instance share. All of them run on one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use camphorhold::coordination::hedge::Delay;
+use camphorhold::coordination::serving::Allowances;
+use camphorhold::coordination::serving::Fleet;
+use camphorhold::coordination::serving::fleet::Terms;
+use camphorhold::coordination::serving::split::Split;
+use camphorhold::state::plan::Plan;
+use camphorhold::state::plan::Route;
+use camphorhold::state::time::Clock;
+use camphorhold_platform::settings::Settings;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::pool::Pool;
+
+/// The number of instances assumed until the store tells.
+const INITIAL_INSTANCES: usize = 8;
+
+/// Connections per leaf of a service that the configuration does not describe.
+const DEFAULT_CONNECTIONS: usize = 16;
+
+/// The quantile of leaf latency after which a second leaf is asked. Its complement is about half of
+/// what the retry budgets of the platform pay for.
+const HEDGE_QUANTILE: f64 = 0.90;
+
+/// The part of the latency objective after which a second leaf is asked while latencies are
+/// unknown, and at the latest otherwise: the second leaf needs the rest.
+const LATEST_HEDGE: f64 = 0.4;
+
+/// What is known of the requests of one route.
+#[derive(Debug)]
+struct RouteProfile {
+    latency: Delay,
+    // The longest time that a caller was willing to wait.
+    longest_wait: Duration,
+}
+
+/// Whether the instance takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// No configuration or no leaf is known yet.
+    Starting,
+    /// Requests are served.
+    Serving,
+    /// The instance was asked to stop.
+    Stopping,
+}
+
+/// State of the instance.
+pub struct Shared {
+    /// The settings at the start.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Box<dyn Clock>,
+    /// The configuration in force.
+    pub plan: RefCell<Option<Arc<Plan>>>,
+    /// The leafs.
+    pub fleet: RefCell<Fleet>,
+    /// The retry budgets.
+    pub allowances: RefCell<Allowances>,
+    /// Connections to leafs without a request.
+    pub pool: Pool,
+    /// Whether requests are taken.
+    pub phase: Cell<Phase>,
+    /// Requests in progress.
+    pub in_progress: Cell<usize>,
+    profiles: RefCell<HashMap<Box<str>, RouteProfile>>,
+    splits: RefCell<HashMap<Box<str>, Split>>,
+    random: RefCell<SmallRng>,
+}
+
+impl std::fmt::Debug for Shared {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Shared").finish_non_exhaustive()
+    }
+}
+
+impl Shared {
+    /// Creates the state of an instance that knows nothing but its settings.
+    pub fn new(settings: Settings, clock: Box<dyn Clock>) -> Self {
+        let now = clock.now();
+        let mut fleet = Fleet::new(settings.domain.clone());
+        fleet.set_instances(INITIAL_INSTANCES);
+        let allowances = Allowances::new(settings.retries, INITIAL_INSTANCES, now);
+        Self {
+            settings,
+            clock,
+            plan: RefCell::new(None),
+            fleet: RefCell::new(fleet),
+            allowances: RefCell::new(allowances),
+            pool: Pool::default(),
+            phase: Cell::new(Phase::Starting),
+            in_progress: Cell::new(0),
+            profiles: RefCell::default(),
+            splits: RefCell::default(),
+            random: RefCell::new(SmallRng::from_os_rng()),
+        }
+    }
+
+    /// Returns the current time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns a random number in 0..1.
+    pub fn jitter(&self) -> f32 {
+        self.random.borrow_mut().random()
+    }
+
+    /// Returns the version of the configuration in force, or 0.
+    pub fn plan_version(&self) -> u64 {
+        self.plan.borrow().as_ref().map_or(0, |plan| plan.version())
+    }
+
+    /// Divides the limits that all instances share.
+    pub fn set_instances(&self, instances: usize) {
+        self.fleet.borrow_mut().set_instances(instances);
+        self.allowances.borrow_mut().set_instances(instances);
+    }
+
+    /// Returns the limits of the leafs of a service.
+    pub fn terms(plan: &Plan, service: &str) -> Terms {
+        plan.service(service).map_or(
+            Terms {
+                max_connections: DEFAULT_CONNECTIONS,
+                cold_rate: None,
+            },
+            |service| Terms {
+                max_connections: service.max_connections,
+                cold_rate: service.cold_rate,
+            },
+        )
+    }
+
+    /// Chooses the service of the next request of a route with several.
+    pub fn next_share(&self, route: &Route) -> Option<Box<str>> {
+        let camphorhold::state::plan::Target::Split(shares) = &route.target else {
+            return None;
+        };
+        let mut splits = self.splits.borrow_mut();
+        let split = splits.entry(route.name.clone()).or_default();
+        split.next(shares).map(Box::from)
+    }
+
+    /// Returns how much of its time a caller has used before this attempt. A caller that asks again
+    /// waits for what is left only, so its wait is shorter than that of the others.
+    pub fn time_used(&self, route: &Route, wait: Duration) -> Duration {
+        let now = self.now();
+        self.with_profile(route, now, |profile| {
+            profile.longest_wait = profile.longest_wait.max(wait);
+            profile.longest_wait.saturating_sub(wait)
+        })
+    }
+
+    /// Returns the usual latency of a leaf call of a route, and when to ask a second leaf.
+    pub fn latency(&self, route: &Route) -> (Duration, Duration) {
+        let now = self.now();
+        let latest = route.objective.mul_f64(LATEST_HEDGE);
+        self.with_profile(route, now, |profile| {
+            let usual = profile.latency.median().unwrap_or(latest / 2);
+            let hedge = profile.latency.get().unwrap_or(latest).min(latest);
+            (usual, hedge)
+        })
+    }
+
+    /// Records the latency of a leaf call.
+    pub fn note_latency(&self, route: &Route, latency: Duration) {
+        let now = self.now();
+        self.with_profile(route, now, |profile| profile.latency.record(now, latency));
+    }
+
+    fn with_profile<T, F>(&self, route: &Route, now: Instant, use_profile: F) -> T
+    where
+        F: FnOnce(&mut RouteProfile) -> T,
+    {
+        let mut profiles = self.profiles.borrow_mut();
+        if let Some(profile) = profiles.get_mut(&route.name) {
+            return use_profile(profile);
+        }
+        let profile = profiles
+            .entry(route.name.clone())
+            .or_insert_with(|| RouteProfile {
+                latency: Delay::with_quantile(now, HEDGE_QUANTILE),
+                longest_wait: Duration::ZERO,
+            });
+        use_profile(profile)
+    }
+
+    /// Forgets what is known of routes that the configuration no longer has.
+    pub fn prune(&self, plan: &Plan) {
+        self.profiles
+            .borrow_mut()
+            .retain(|name, _| plan.has_route(name));
+        self.splits
+            .borrow_mut()
+            .retain(|name, _| plan.has_route(name));
+    }
+}
--- a/lib/src/coordination/hedge.rs
+++ b/lib/src/coordination/hedge.rs
@@ -34,17 +34,25 @@
     newer: Histogram<u32>,
     newer_since: Instant,
     unread: u64,
+    quantile: f64,
     current: Option<Duration>,
+    median: Option<Duration>,
 }
 
 impl Delay {
     /// Creates a delay without samples; hedging is off.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self::with_quantile(now, QUANTILE)
+    }
+
+    /// Creates a delay without samples that follows another quantile, from 0 to 1.
     ///
     /// # Panics
     ///
     /// Never: the bounds of the histogram are constant and valid.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
+    pub fn with_quantile(now: Instant, quantile: f64) -> Self {
         let histogram =
             Histogram::new_with_bounds(LOWEST_MICROS, HIGHEST_MICROS, SIGNIFICANT_DIGITS)
                 .expect("constant bounds are valid");
@@ -53,7 +61,9 @@
             newer: histogram,
             newer_since: now,
             unread: 0,
+            quantile,
             current: None,
+            median: None,
         }
     }
 
@@ -80,12 +90,19 @@
         self.current
     }
 
+    /// Returns the median latency, or `None` while there are too few samples.
+    #[must_use]
+    pub fn median(&self) -> Option<Duration> {
+        self.median
+    }
+
     fn refresh(&mut self) {
         self.unread = 0;
         // After a quiet period the histogram may hold few samples; the last known delay stays.
         if self.older.len() >= MIN_SAMPLES {
-            let micros = self.older.value_at_quantile(QUANTILE);
+            let micros = self.older.value_at_quantile(self.quantile);
             self.current = Some(Duration::from_micros(micros));
+            self.median = Some(Duration::from_micros(self.older.value_at_quantile(0.5)));
         }
     }
 }
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -21,5 +21,6 @@
 pub mod query;
 pub mod replica;
 pub mod rollout;
+pub mod serving;
 pub mod shutdown;
 pub mod warmth;
--- /dev/null
+++ b/lib/src/coordination/serving/fanout.rs
@@ -0,0 +1,424 @@
+//! One request at its leafs: which calls are sent when, and when the caller gets its answer.
+//!
+//! A request to a single service is a fan-out over one shard. Sockets and timers are left to the
+//! caller of this module, who sends what the methods return and reports what became of it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::allowance::Allowances;
+use super::allowance::Use;
+use super::fleet::Fleet;
+use super::fleet::LeafKey;
+use super::fleet::Terms;
+use crate::coordination::merge::Coverage;
+use crate::state::plan::Repeat;
+
+/// Pause before another look for a leaf, when none is open.
+const RECHECK: Duration = Duration::from_millis(15);
+
+/// Calls of one shard that may fail to leave the instance. They reach no leaf, so they cost nothing
+/// but time.
+const MAX_UNSENT: u8 = 4;
+
+/// What a request shares with the other requests of the instance.
+#[derive(Debug)]
+pub struct Context<'a> {
+    /// The time of the event.
+    pub now: Instant,
+    /// The leafs.
+    pub fleet: &'a Fleet,
+    /// The retry budgets.
+    pub allowances: &'a mut Allowances,
+    /// A random number in 0..1.
+    pub jitter: f32,
+}
+
+/// A shard to ask.
+#[derive(Clone, Debug)]
+pub struct Shard {
+    /// The service that holds it.
+    pub service: Box<str>,
+    /// The limits of its leafs.
+    pub terms: Terms,
+}
+
+/// What is asked, and by when an answer is useful.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The shards.
+    pub shards: Vec<Shard>,
+    /// Whether calls may be repeated.
+    pub repeat: Repeat,
+    /// The smallest share of shards, from 0 to 1, that makes an answer.
+    pub minimum: f64,
+    /// How many leafs of one shard may receive the request.
+    pub max_leafs: usize,
+    /// How long a call may take before a second leaf is asked; `None` turns hedging off.
+    pub hedge_delay: Option<Duration>,
+    /// When an answer with the minimum is given, even if shards are missing.
+    pub answer_by: Instant,
+    /// When the final answer is due.
+    pub deadline: Instant,
+}
+
+/// An order to call a leaf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Send {
+    /// The position of the shard in the request.
+    pub shard: usize,
+    /// The leaf to call.
+    pub leaf: LeafKey,
+}
+
+/// What became of a call, as far as the request is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The answer is part of the result.
+    Part,
+    /// The leaf has not run the request.
+    NotRun,
+    /// The request did not leave this instance.
+    Unsent,
+    /// The leaf failed, or may have run the request without an answer.
+    Failed,
+}
+
+/// Why a request has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Too few shards have a leaf that could answer.
+    Unavailable,
+    /// The time is up.
+    TimedOut,
+}
+
+/// The end of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The parts make an answer.
+    Answer(Coverage),
+    /// There will be no answer.
+    GiveUp {
+        /// Why.
+        reason: Reason,
+        /// Whether a leaf may have run the request.
+        may_have_run: bool,
+        /// The parts that did arrive.
+        coverage: Coverage,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Open,
+    Answered,
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+struct Progress {
+    service: Box<str>,
+    terms: Terms,
+    state: State,
+    in_flight: Vec<LeafKey>,
+    tried: Vec<LeafKey>,
+    arrivals: u32,
+    unsent: u8,
+    hedge_at: Option<Instant>,
+    recheck_at: Option<Instant>,
+}
+
+/// A request in progress.
+#[derive(Clone, Debug)]
+pub struct Fanout {
+    shards: Vec<Progress>,
+    repeat: Repeat,
+    minimum: f64,
+    max_leafs: usize,
+    hedge_delay: Option<Duration>,
+    answer_by: Instant,
+    deadline: Instant,
+    answered: u32,
+    open: u32,
+    may_have_run: bool,
+    hedges: u32,
+    retries: u32,
+}
+
+impl Fanout {
+    /// Starts a request and returns its first calls.
+    pub fn start(request: Request, context: &mut Context<'_>) -> (Self, Vec<Send>) {
+        let open = u32::try_from(request.shards.len()).unwrap_or(u32::MAX);
+        let mut fanout = Self {
+            shards: request
+                .shards
+                .into_iter()
+                .map(|shard| Progress {
+                    service: shard.service,
+                    terms: shard.terms,
+                    state: State::Open,
+                    in_flight: Vec::new(),
+                    tried: Vec::new(),
+                    arrivals: 0,
+                    unsent: 0,
+                    hedge_at: None,
+                    recheck_at: None,
+                })
+                .collect(),
+            repeat: request.repeat,
+            minimum: request.minimum,
+            max_leafs: request.max_leafs.max(1),
+            hedge_delay: request.hedge_delay,
+            answer_by: request.answer_by,
+            deadline: request.deadline,
+            answered: 0,
+            open,
+            may_have_run: false,
+            hedges: 0,
+            retries: 0,
+        };
+        let mut sends = Vec::with_capacity(fanout.shards.len());
+        for index in 0..fanout.shards.len() {
+            context
+                .allowances
+                .on_request(&fanout.shards[index].service, context.now);
+            fanout.send_or_wait(index, context, &mut sends);
+        }
+        (fanout, sends)
+    }
+
+    /// Handles the end of a call. Calls that replace it are added to `sends`.
+    pub fn on_outcome(
+        &mut self,
+        shard: usize,
+        leaf: LeafKey,
+        outcome: Outcome,
+        context: &mut Context<'_>,
+        sends: &mut Vec<Send>,
+    ) {
+        let progress = &mut self.shards[shard];
+        progress.in_flight.retain(|key| *key != leaf);
+        if matches!(outcome, Outcome::Part | Outcome::Failed) {
+            self.may_have_run = true;
+        }
+        if progress.state != State::Open {
+            return;
+        }
+        match outcome {
+            Outcome::Part => {
+                progress.state = State::Answered;
+                self.answered += 1;
+                self.open -= 1;
+            }
+            Outcome::Unsent => {
+                progress.unsent += 1;
+                progress.arrivals = progress.arrivals.saturating_sub(1);
+                progress.tried.retain(|key| *key != leaf);
+                if progress.unsent >= MAX_UNSENT && progress.in_flight.is_empty() {
+                    self.fail(shard);
+                } else if progress.in_flight.is_empty() {
+                    self.send_or_wait(shard, context, sends);
+                }
+            }
+            Outcome::NotRun => self.retry(shard, context, sends),
+            Outcome::Failed if self.repeat == Repeat::Idempotent => {
+                self.retry(shard, context, sends);
+            }
+            Outcome::Failed => self.fail(shard),
+        }
+    }
+
+    /// Handles the passing of time. Hedges and calls that waited for a leaf are added to `sends`.
+    pub fn on_timer(&mut self, context: &mut Context<'_>, sends: &mut Vec<Send>) {
+        for index in 0..self.shards.len() {
+            let progress = &mut self.shards[index];
+            if progress.state != State::Open {
+                continue;
+            }
+            if progress.recheck_at.is_some_and(|at| at <= context.now) {
+                progress.recheck_at = None;
+                self.send_or_wait(index, context, sends);
+            } else if progress.hedge_at.is_some_and(|at| at <= context.now) {
+                self.hedge(index, context, sends);
+            }
+        }
+    }
+
+    /// Returns when [`Self::on_timer`] or [`Self::verdict`] has something to do next.
+    #[must_use]
+    pub fn next_timer(&self) -> Instant {
+        let shards = self
+            .shards
+            .iter()
+            .filter(|progress| progress.state == State::Open)
+            .flat_map(|progress| [progress.hedge_at, progress.recheck_at])
+            .flatten();
+        let answer_by = self.reaches_minimum().then_some(self.answer_by);
+        shards
+            .chain(answer_by)
+            .chain([self.deadline])
+            .min()
+            .unwrap_or(self.deadline)
+    }
+
+    /// Returns the end of the request, if it has come.
+    #[must_use]
+    pub fn verdict(&self, now: Instant) -> Option<Verdict> {
+        let coverage = self.coverage();
+        let complete = self.open == 0;
+        let due = now >= self.answer_by;
+        if self.reaches_minimum() && (complete || due) {
+            return Some(Verdict::Answer(coverage));
+        }
+        let best = Coverage {
+            answered: self.answered + self.open,
+            in_scope: coverage.in_scope,
+        };
+        let reason = if !best.reaches(self.minimum) {
+            Reason::Unavailable
+        } else if now >= self.deadline {
+            Reason::TimedOut
+        } else {
+            return None;
+        };
+        Some(Verdict::GiveUp {
+            reason,
+            may_have_run: self.may_have_run || self.has_calls(),
+            coverage,
+        })
+    }
+
+    /// Returns how many shards have answered.
+    #[must_use]
+    pub fn coverage(&self) -> Coverage {
+        Coverage {
+            answered: self.answered,
+            in_scope: u32::try_from(self.shards.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the numbers of hedges and of retries.
+    #[must_use]
+    pub fn extra_calls(&self) -> (u32, u32) {
+        (self.hedges, self.retries)
+    }
+
+    /// Returns the services of the shards without an answer.
+    pub fn missing(&self) -> impl Iterator<Item = &str> {
+        self.shards
+            .iter()
+            .filter(|progress| progress.state != State::Answered)
+            .map(|progress| &*progress.service)
+    }
+
+    /// Returns the service at a position of the request.
+    #[must_use]
+    pub fn service(&self, shard: usize) -> &str {
+        &self.shards[shard].service
+    }
+
+    fn reaches_minimum(&self) -> bool {
+        self.coverage().reaches(self.minimum)
+    }
+
+    fn has_calls(&self) -> bool {
+        self.shards
+            .iter()
+            .any(|progress| !progress.in_flight.is_empty())
+    }
+
+    fn fail(&mut self, shard: usize) {
+        let progress = &mut self.shards[shard];
+        if progress.state == State::Open {
+            progress.state = State::Failed;
+            self.open -= 1;
+        }
+    }
+
+    /// Replaces a call that ended without an answer. While another call of the shard is in
+    /// progress, that one is the replacement.
+    fn retry(&mut self, shard: usize, context: &mut Context<'_>, sends: &mut Vec<Send>) {
+        if !self.shards[shard].in_flight.is_empty() {
+            return;
+        }
+        self.send_or_wait(shard, context, sends);
+    }
+
+    fn hedge(&mut self, shard: usize, context: &mut Context<'_>, sends: &mut Vec<Send>) {
+        let progress = &mut self.shards[shard];
+        progress.hedge_at = None;
+        if progress.in_flight.len() != 1 {
+            return;
+        }
+        let Some(leaf) = self.candidate(shard, context) else {
+            return;
+        };
+        let service = &self.shards[shard].service;
+        if !context.allowances.take(service, Use::Hedge, context.now) {
+            return;
+        }
+        self.hedges += 1;
+        self.note_send(shard, leaf, context.now, sends);
+    }
+
+    /// Sends a call, waits for a leaf to become open, or ends the shard.
+    fn send_or_wait(&mut self, shard: usize, context: &mut Context<'_>, sends: &mut Vec<Send>) {
+        let Some(leaf) = self.candidate(shard, context) else {
+            let waits = context.fleet.has_candidates(&self.shards[shard].service)
+                && context.now + RECHECK < self.answer_by;
+            if waits {
+                self.shards[shard].recheck_at = Some(context.now + RECHECK);
+            } else {
+                self.fail(shard);
+            }
+            return;
+        };
+        let progress = &self.shards[shard];
+        if progress.arrivals > 0 {
+            let service = &progress.service;
+            if !context.allowances.take(service, Use::Retry, context.now) {
+                self.fail(shard);
+                return;
+            }
+            self.retries += 1;
+        }
+        self.note_send(shard, leaf, context.now, sends);
+    }
+
+    fn note_send(&mut self, shard: usize, leaf: LeafKey, now: Instant, sends: &mut Vec<Send>) {
+        let hedge_delay = self.hedge_delay;
+        let progress = &mut self.shards[shard];
+        progress.arrivals += 1;
+        progress.in_flight.push(leaf);
+        if !progress.tried.contains(&leaf) {
+            progress.tried.push(leaf);
+        }
+        progress.hedge_at = hedge_delay
+            .filter(|_| progress.in_flight.len() == 1)
+            .map(|delay| now + delay);
+        sends.push(Send { shard, leaf });
+    }
+
+    /// Returns the leaf for the next call of a shard: one that has not been tried, or else one that
+    /// has been and is idle.
+    fn candidate(&self, shard: usize, context: &Context<'_>) -> Option<LeafKey> {
+        let progress = &self.shards[shard];
+        let choose = |avoid: &[LeafKey]| {
+            context.fleet.choose(
+                &progress.service,
+                progress.terms,
+                context.now,
+                avoid,
+                context.jitter,
+            )
+        };
+        if progress.tried.len() < self.max_leafs
+            && let Some(leaf) = choose(&progress.tried)
+        {
+            return Some(leaf);
+        }
+        let leaf = choose(&progress.in_flight)?;
+        (progress.tried.contains(&leaf) || progress.tried.len() < self.max_leafs).then_some(leaf)
+    }
+}
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub mod file;
 pub mod hlc;
 pub mod id;
+pub mod plan;
 pub mod record;
 pub mod rollout;
 pub mod size;
--- /dev/null
+++ b/lib/src/transport/http.rs
@@ -0,0 +1,176 @@
+//! HTTP/1.1 client connections whose use stays with the caller.
+//!
+//! A connection is driven only while a request is in progress on it, by the task of that request.
+//! Dropping the task closes the connection, which is how a server learns that an answer is no
+//! longer wanted.
+
+use std::future::Future;
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::pin::pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+/// How a connection notices that its peer is silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Liveness {
+    /// The longest time until a connection is established.
+    pub connect_timeout: Duration,
+    /// How long sent bytes may stay without acknowledgement.
+    pub send_timeout: Duration,
+    /// The pause between probes of a connection without traffic; `None` sends none.
+    pub probe_interval: Option<Duration>,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The connection could not be established.
+    #[error("cannot connect: {0}")]
+    Connect(#[source] io::Error),
+    /// The connection was not established in time.
+    #[error("no connection in time")]
+    ConnectTimeout,
+    /// The connection was closed before the request was sent.
+    #[error("the request was not sent: {0}")]
+    Unsent(#[source] hyper::Error),
+    /// The request was sent, and the connection broke or the answer could not be read.
+    #[error("the answer is lost: {0}")]
+    Lost(#[source] hyper::Error),
+    /// The answer is longer than permitted.
+    #[error("the answer is too long")]
+    TooLong,
+}
+
+type Driver = Pin<Box<dyn Future<Output = hyper::Result<()>>>>;
+
+/// A connection to a server.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Driver,
+}
+
+impl std::fmt::Debug for Connection {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Connection").finish_non_exhaustive()
+    }
+}
+
+impl Connection {
+    /// Connects to a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the server does not accept a connection in time.
+    pub async fn open(address: SocketAddr, liveness: Liveness) -> Result<Self, Error> {
+        let connecting = TcpStream::connect(address);
+        let stream = tokio::time::timeout(liveness.connect_timeout, connecting)
+            .await
+            .map_err(|_| Error::ConnectTimeout)?
+            .map_err(Error::Connect)?;
+        configure(&stream, liveness).map_err(Error::Connect)?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(Error::Unsent)?;
+        Ok(Self {
+            sender,
+            driver: Box::pin(driver),
+        })
+    }
+
+    /// Tells whether another request can be sent: the server has neither closed the connection nor
+    /// sent bytes that answer nothing.
+    pub fn is_usable(&mut self) -> bool {
+        let mut context = Context::from_waker(Waker::noop());
+        self.driver.as_mut().poll(&mut context).is_pending()
+            && matches!(self.sender.poll_ready(&mut context), Poll::Ready(Ok(())))
+    }
+
+    /// Sends a request and reads the whole answer, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no whole answer. [`Error::Unsent`] means that no byte of the
+    /// request has left.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+    ) -> Result<Response<Bytes>, Error> {
+        let sender = &mut self.sender;
+        let mut answer = pin!(async move {
+            let response = sender.try_send_request(request).await.map_err(|mut error| {
+                if error.take_message().is_some() {
+                    Error::Unsent(error.into_error())
+                } else {
+                    Error::Lost(error.into_error())
+                }
+            })?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, limit).collect().await.map_err(|error| {
+                if error.is::<LengthLimitError>() {
+                    return Error::TooLong;
+                }
+                match error.downcast::<hyper::Error>() {
+                    Ok(error) => Error::Lost(*error),
+                    Err(_) => Error::TooLong,
+                }
+            })?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        });
+        let driver = &mut self.driver;
+        let mut driver_ended = false;
+        poll_fn(move |context| {
+            loop {
+                if !driver_ended && driver.as_mut().poll(context).is_ready() {
+                    driver_ended = true;
+                    // A driver that has ended is not polled again.
+                    *driver = Box::pin(std::future::ready(Ok(())));
+                }
+                if let Poll::Ready(answer) = answer.as_mut().poll(context) {
+                    return Poll::Ready(answer);
+                }
+                // The answer's progress may have queued a request for the driver.
+                if driver_ended || driver.as_mut().poll(context).is_pending() {
+                    return Poll::Pending;
+                }
+                driver_ended = true;
+                *driver = Box::pin(std::future::ready(Ok(())));
+            }
+        })
+        .await
+    }
+}
+
+fn configure(stream: &TcpStream, liveness: Liveness) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(liveness.send_timeout))?;
+    if let Some(interval) = liveness.probe_interval {
+        let probes = TcpKeepalive::new()
+            .with_time(interval)
+            .with_interval(interval)
+            .with_retries(2);
+        socket.set_tcp_keepalive(&probes)?;
+    }
+    Ok(())
+}
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to backend servers, to other instances and to the key-value service.
 
+pub mod http;
 pub mod leaf;
 pub mod peer;
 pub mod store;
