follower: end a watch after 4.5 s

Ruled out: dead connections (probes would end them), a stuck task (the next watch worked). The wait plus slack now ends within the time until the store counts as undisturbed and a change is due.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -1,5 +1,6 @@
 //! One call to a leaf.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -61,6 +62,8 @@
     pub body: Bytes,
     /// When the caller stops waiting.
     pub deadline: Instant,
+    /// Whether a leaf may have received it.
+    pub sent: Cell<bool>,
 }
 
 /// How a call ended.
@@ -186,6 +189,7 @@
         }
     };
     let request = build(passed, &id, shared.now());
+    passed.sent.set(true);
     let answer = connection.exchange(request, MAX_ANSWER_BYTES).await?;
     keep(shared, passed, leaf, connection, &answer);
     Ok(answer)
--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -21,8 +21,10 @@
 use crate::shared::Phase;
 use crate::shared::Shared;
 
-/// How long one watch waits. A dead connection is noticed by probes, not by this.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long one watch waits. The answer of a watch may be lost while its connection stays open, and
+/// then only its absence shows it. The wait and the slack for the answer have to end before the
+/// store counts as undisturbed for 4 s and a change is due 3 s later.
+const WATCH_WAIT: Duration = Duration::from_millis(4_500);
 
 /// Pause after changes, so that a burst of them is read with a few calls. Calls are billed, and the
 /// tightest bound on a change is 3 s.
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -1,5 +1,6 @@
 //! One request of a caller, from its head to its answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -141,6 +142,7 @@
         uri: origin_form(&head.uri),
         headers: end_to_end(head.headers),
         body,
+        sent: Cell::new(false),
         deadline: origin.arrived + wait.min(route.timeout),
         route,
     });
@@ -338,7 +340,7 @@
                 reason,
                 may_have_run,
                 ..
-            } => give_up(passed, self.failure, reason, may_have_run),
+            } => give_up(passed, self.failure, reason, may_have_run && passed.sent.get()),
         }
     }
 
