fleet, pool: wait for leafs in back-off, drop spare connections

Ruled out: a slow start (configuration in force 13 ms after 'started'). Requests now wait for a leaf in back-off, the first back-off is 40 ms, spare idle connections close after 1.5 s.

--- a/instance/src/pool.rs
+++ b/instance/src/pool.rs
@@ -9,6 +9,11 @@
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::transport::http::Connection;
 
+/// How long a connection beside another idle one may wait. Leafs count the connections of an
+/// instance that lost power until they time out, so spare ones take the place of those of its
+/// successor.
+const SPARE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// How long a connection may wait if the leaf does not say. Leafs close idle connections after a
 /// timeout; a request that crosses the close is lost.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
@@ -51,11 +56,14 @@
         now: Instant,
     ) {
         let limit = idle_timeout.map_or(IDLE_LIMIT, |timeout| timeout.mul_f64(IDLE_SHARE));
-        let until = now + limit;
         let mut idle = self.idle.borrow_mut();
-        idle.entry(leaf)
-            .or_default()
-            .push(Idle { connection, until });
+        let connections = idle.entry(leaf).or_default();
+        // The connections below the top of the stack are used only when the load rises.
+        for spare in connections.iter_mut() {
+            spare.until = spare.until.min(now + SPARE_LIMIT);
+        }
+        let until = now + limit;
+        connections.push(Idle { connection, until });
     }
 
     /// Closes connections that have waited too long or whose leaf is gone.
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -84,6 +84,9 @@
 /// can be used again.
 const LINGER: Duration = Duration::from_millis(250);
 
+/// The part of the latency objective within which a request is refused if no call can be sent.
+const REFUSAL_SHARE: f64 = 0.2;
+
 /// When a caller should come back, as a part of the latency objective.
 const RETRY_AFTER_SHARE: f64 = 0.1;
 
@@ -227,6 +230,7 @@
         minimum,
         max_leafs: route.max_leafs,
         hedge_delay: (route.repeat == Repeat::Idempotent).then_some(hedge_delay),
+        refuse_by: origin.arrived + route.objective.mul_f64(REFUSAL_SHARE),
         answer_by: answer_by.min(deadline),
         deadline,
     })
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -56,6 +56,9 @@
     pub max_leafs: usize,
     /// How long a call may take before a second leaf is asked; `None` turns hedging off.
     pub hedge_delay: Option<Duration>,
+    /// Until when a request of which no call could be sent waits for a leaf. A caller that is
+    /// refused early can still be served in time elsewhere.
+    pub refuse_by: Instant,
     /// When an answer with the minimum is given, even if shards are missing.
     pub answer_by: Instant,
     /// When the final answer is due.
@@ -137,6 +140,7 @@
     minimum: f64,
     max_leafs: usize,
     hedge_delay: Option<Duration>,
+    refuse_by: Instant,
     answer_by: Instant,
     deadline: Instant,
     answered: u32,
@@ -170,6 +174,7 @@
             minimum: request.minimum,
             max_leafs: request.max_leafs.max(1),
             hedge_delay: request.hedge_delay,
+            refuse_by: request.refuse_by,
             answer_by: request.answer_by,
             deadline: request.deadline,
             answered: 0,
@@ -215,7 +220,7 @@
                 progress.unsent += 1;
                 progress.arrivals = progress.arrivals.saturating_sub(1);
                 progress.tried.retain(|key| *key != leaf);
-                if progress.unsent >= MAX_UNSENT && progress.in_flight.is_empty() {
+                if progress.in_flight.is_empty() && progress.unsent >= MAX_UNSENT {
                     self.fail(shard);
                 } else if progress.in_flight.is_empty() {
                     self.send_or_wait(shard, context, sends);
@@ -365,8 +370,13 @@
     /// Sends a call, waits for a leaf to become open, or ends the shard.
     fn send_or_wait(&mut self, shard: usize, context: &mut Context<'_>, sends: &mut Vec<Send>) {
         let Some(leaf) = self.candidate(shard, context) else {
+            let limit = if self.answered > 0 || self.has_calls() {
+                self.answer_by
+            } else {
+                self.refuse_by
+            };
             let waits = context.fleet.has_candidates(&self.shards[shard].service)
-                && context.now + RECHECK < self.answer_by;
+                && context.now + RECHECK < limit;
             if waits {
                 self.shards[shard].recheck_at = Some(context.now + RECHECK);
             } else {
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -43,7 +43,7 @@
 const STALL_FACTOR: f32 = 2.5;
 
 /// Pauses after a failed connection: doubled with every further failure up to the longest.
-const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+const FIRST_BACKOFF: Duration = Duration::from_millis(40);
 const LONGEST_BACKOFF: Duration = Duration::from_millis(1_600);
 
 /// Connections kept below the limit of a leaf, for connections that other instances are just
@@ -376,7 +376,7 @@
             members
                 .iter()
                 .filter_map(|key| self.leafs.get(*key))
-                .any(|leaf| self.is_permitted(leaf) && leaf.backoff_until.is_none())
+                .any(|leaf| self.is_permitted(leaf))
         })
     }
 
