instances: hand shards without a local leaf over to an instance near them

Trial: a first form handed whole queries over and never applied, since each zone holds two thirds of the shards.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -1,6 +1,5 @@
 //! Follows the platform's store: configuration, leafs, evacuations, instances.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -8,7 +7,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use camphorhold::coordination::serving::instances::Instances;
 use camphorhold_platform::key::Key;
 use camphorhold_platform::leaf;
 use camphorhold_platform::plan;
@@ -18,6 +16,7 @@
 use camphorhold_platform::store::Store;
 use camphorhold_platform::store::StoreError;
 
+use crate::registration;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
@@ -46,7 +45,6 @@
     store: Store,
     // The newest revision applied of each item, so that a page does not undo a later change.
     revisions: HashMap<Box<str>, u64>,
-    instances: RefCell<Instances>,
     failing_since: Option<Instant>,
     // Until when leafs without an entry are kept.
     lapse_until: Option<Instant>,
@@ -60,7 +58,6 @@
             shared,
             store,
             revisions: HashMap::new(),
-            instances: RefCell::default(),
             failing_since: None,
             lapse_until: None,
         }
@@ -192,7 +189,7 @@
             Key::Configuration => self.on_configuration(value, item.revision),
             Key::Leaf(id) => self.on_leaf(id, value, item.revision),
             Key::Evacuation(domain) => self.on_evacuation(domain, true),
-            Key::Instance(name) => self.instances.borrow_mut().add(name),
+            Key::Instance(name) => self.on_instance(name, value),
             Key::RolloutOrder(_) | Key::RolloutState(_) | Key::Other => {}
         }
     }
@@ -206,7 +203,7 @@
                 log::info!(leaf = id, kept = keep_until.is_some(); "leaf entry removed");
             }
             Key::Evacuation(domain) => self.on_evacuation(domain, false),
-            Key::Instance(name) => self.instances.borrow_mut().remove(name, now),
+            Key::Instance(name) => self.shared.instances.borrow_mut().remove(name, now),
             Key::Configuration | Key::RolloutOrder(_) | Key::RolloutState(_) | Key::Other => {}
         }
     }
@@ -264,6 +261,18 @@
         }
     }
 
+    fn on_instance(&self, name: &str, value: Option<&[u8]>) {
+        let location = match registration::read(value.unwrap_or_default()) {
+            Ok(location) => Some(location),
+            Err(error) => {
+                log::warn!(instance = name, error:% = error; "registration not readable");
+                None
+            }
+        };
+        log::info!(instance = name, location:? = location; "instance registered");
+        self.shared.instances.borrow_mut().add(name, location);
+    }
+
     fn on_evacuation(&self, domain: &str, evacuated: bool) {
         log::info!(domain = domain, evacuated = evacuated; "evacuation");
         let mut fleet = self.shared.fleet.borrow_mut();
@@ -271,11 +280,7 @@
     }
 
     fn after_changes(&self) {
-        let now = self.shared.now();
-        let count = self.instances.borrow().count(now);
-        if count > 0 {
-            self.shared.set_instances(count);
-        }
+        self.shared.divide_limits();
         let known = self.shared.plan.borrow().is_some() && !self.shared.fleet.borrow().is_empty();
         if known && self.shared.phase.get() == Phase::Starting {
             self.shared.phase.set(Phase::Serving);
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -3,6 +3,7 @@
 mod call;
 mod exposition;
 mod follower;
+mod handover;
 mod logging;
 mod merge;
 mod pool;
--- a/instance/src/merge.rs
+++ b/instance/src/merge.rs
@@ -1,4 +1,5 @@
-//! Merges the records of the parts of a query.
+//! Merges the records of the parts of a query. A part is the answer of a leaf, or the merged answer
+//! of an instance that asked several.
 
 use bytes::Bytes;
 use camphorhold::coordination::merge::Coverage;
@@ -23,10 +24,14 @@
     let headers = response.headers_mut();
     let signatures: Vec<&[u8]> = parts
         .iter()
-        .filter_map(|part| part.headers().get(header::SIGNATURE))
+        .filter_map(|part| {
+            let headers = part.headers();
+            let merged = headers.get(header::PART_SIGNATURES);
+            merged.or_else(|| headers.get(header::SIGNATURE))
+        })
         .map(HeaderValue::as_bytes)
         .collect();
-    if let Ok(value) = HeaderValue::from_bytes(&signatures.join(&b", "[..])) {
+    if let Ok(value) = HeaderValue::from_bytes(&signatures.join(&b","[..])) {
         headers.insert(header::PART_SIGNATURES, value);
     }
     let missing = coverage.in_scope.saturating_sub(coverage.answered);
--- a/instance/src/pool.rs
+++ b/instance/src/pool.rs
@@ -1,12 +1,11 @@
-//! Connections to leafs that wait for their next request.
+//! Connections to leafs and to other instances that wait for their next request.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::Duration;
 use std::time::Instant;
 
-use camphorhold::coordination::serving::Fleet;
-use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::transport::http::Connection;
 
 /// How long a connection beside another idle one may wait. Leafs count the connections of an
@@ -28,17 +27,28 @@
     until: Instant,
 }
 
-/// Idle connections by leaf, the most recently used last.
-#[derive(Debug, Default)]
-pub struct Pool {
-    idle: RefCell<HashMap<LeafKey, Vec<Idle>>>,
+/// Idle connections by server, the most recently used last.
+#[derive(Debug)]
+pub struct Pool<K> {
+    idle: RefCell<HashMap<K, Vec<Idle>>>,
 }
 
-impl Pool {
-    /// Takes a usable connection to a leaf, if there is one.
-    pub fn take(&self, leaf: LeafKey, now: Instant) -> Option<Connection> {
+impl<K> Default for Pool<K> {
+    fn default() -> Self {
+        Self {
+            idle: RefCell::default(),
+        }
+    }
+}
+
+impl<K> Pool<K>
+where
+    K: Copy + Eq + Hash,
+{
+    /// Takes a usable connection to a server, if there is one.
+    pub fn take(&self, server: K, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&leaf)?;
+        let connections = idle.get_mut(&server)?;
         while let Some(mut entry) = connections.pop() {
             if entry.until > now && entry.connection.is_usable() {
                 return Some(entry.connection);
@@ -47,17 +57,17 @@
         None
     }
 
-    /// Keeps a connection for the next request. `idle_timeout` is what the leaf said, if it did.
+    /// Keeps a connection for the next request. `idle_timeout` is what the server said, if it did.
     pub fn put(
         &self,
-        leaf: LeafKey,
+        server: K,
         connection: Connection,
         idle_timeout: Option<Duration>,
         now: Instant,
     ) {
         let limit = idle_timeout.map_or(IDLE_LIMIT, |timeout| timeout.mul_f64(IDLE_SHARE));
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(leaf).or_default();
+        let connections = idle.entry(server).or_default();
         // The connections below the top of the stack are used only when the load rises.
         for spare in connections.iter_mut() {
             spare.until = spare.until.min(now + SPARE_LIMIT);
@@ -66,10 +76,18 @@
         connections.push(Idle { connection, until });
     }
 
-    /// Closes connections that have waited too long or whose leaf is gone.
-    pub fn sweep(&self, fleet: &Fleet, now: Instant) {
-        self.idle.borrow_mut().retain(|leaf, connections| {
-            if fleet.get(*leaf).is_none() {
+    /// Closes the connections to a server.
+    pub fn close(&self, server: K) {
+        self.idle.borrow_mut().remove(&server);
+    }
+
+    /// Closes connections that have waited too long or whose server is not in use any more.
+    pub fn sweep<F>(&self, now: Instant, is_in_use: F)
+    where
+        F: Fn(K) -> bool,
+    {
+        self.idle.borrow_mut().retain(|server, connections| {
+            if !is_in_use(*server) {
                 return false;
             }
             connections.retain_mut(|entry| entry.until > now && entry.connection.is_usable());
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -18,6 +18,7 @@
 use crate::exposition;
 use crate::follower::Follower;
 use crate::registration;
+use crate::request::Source;
 use crate::server;
 use crate::server::Connections;
 use crate::shared::Phase;
@@ -74,6 +75,7 @@
     let mut reload = signal(SignalKind::hangup())?;
     let callers = listen(settings.callers)?;
     let readiness = listen(settings.readiness)?;
+    let peers = listen(settings.peers)?;
     log::info!(
         instance = &*settings.name,
         domain = &*settings.domain,
@@ -85,10 +87,17 @@
     tokio::task::spawn_local(Follower::new(Rc::clone(&shared)).run());
     tokio::task::spawn_local(registration::run(Rc::clone(&shared)));
     tokio::task::spawn_local(server::serve_readiness(Rc::clone(&shared), readiness));
-    tokio::task::spawn_local(server::serve_callers(
+    tokio::task::spawn_local(server::serve_requests(
         Rc::clone(&shared),
         Rc::clone(&connections),
         callers,
+        Source::Caller,
+    ));
+    tokio::task::spawn_local(server::serve_requests(
+        Rc::clone(&shared),
+        Rc::clone(&connections),
+        peers,
+        Source::Instance,
     ));
     tokio::task::spawn_local(exposition::serve(metrics.0, metrics.1));
     tokio::task::spawn_local(sweep(Rc::clone(&shared), Rc::clone(&connections)));
@@ -132,7 +141,10 @@
         for leaf in shared.fleet.borrow_mut().expire(now) {
             log::info!(leaf = &*leaf; "leaf entry did not come back");
         }
-        shared.pool.sweep(&shared.fleet.borrow(), now);
+        let fleet = shared.fleet.borrow();
+        shared.pool.sweep(now, |leaf| fleet.get(leaf).is_some());
+        shared.peers.sweep(now, |_| true);
+        drop(fleet);
         let limits = shared.plan.borrow().as_ref().map(|plan| plan.limits());
         connections.sweep(limits, now);
     }
--- a/instance/src/registration.rs
+++ b/instance/src/registration.rs
@@ -1,13 +1,17 @@
-//! Registers the instance in the store, so that the others know how many there are.
+//! Registers the instance in the store, so that the others know how many there are and where.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use camphorhold::coordination::serving::instances::Location;
 use camphorhold_platform::key;
 use camphorhold_platform::store::Lease;
 use camphorhold_platform::store::Store;
 use camphorhold_platform::store::StoreError;
 use camphorhold_platform::store::Write;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::shared::Shared;
 
@@ -21,12 +25,31 @@
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_secs(2);
 
+/// What an instance registers.
+#[derive(Deserialize, Serialize)]
+struct Registration {
+    domain: Box<str>,
+    address: SocketAddr,
+}
+
+/// Reads a registration.
+///
+/// # Errors
+///
+/// Returns an error for a value that no instance of this version writes.
+pub fn read(value: &[u8]) -> Result<Location, serde_json::Error> {
+    serde_json::from_slice(value).map(|registration: Registration| Location {
+        domain: registration.domain,
+        address: registration.address,
+    })
+}
+
 /// Keeps the registration alive, for as long as the process runs.
 pub async fn run(shared: Rc<Shared>) {
     let mut store = Store::new(shared.settings.store);
     let key = key::instance(&shared.settings.name);
     loop {
-        match register(&mut store, &key).await {
+        match register(&mut store, &shared, &key).await {
             Ok(lease) => {
                 log::info!(key = key; "registered");
                 renew(&mut store, lease).await;
@@ -40,12 +63,16 @@
     }
 }
 
-async fn register(store: &mut Store, key: &str) -> Result<Lease, StoreError> {
+async fn register(store: &mut Store, shared: &Shared, key: &str) -> Result<Lease, StoreError> {
+    let value = serde_json::to_vec(&Registration {
+        domain: shared.settings.domain.clone(),
+        address: shared.settings.peers,
+    })?;
     let lease = store.grant(LIFETIME).await?;
     store
         .write(Write {
             key,
-            value: b"{}",
+            value: &value,
             lease: Some(lease.id),
             expected: None,
         })
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -16,6 +16,7 @@
 use camphorhold::coordination::serving::fanout::Shard;
 use camphorhold::coordination::serving::fanout::Verdict;
 use camphorhold::coordination::serving::fanout;
+use camphorhold::coordination::serving::instances::Group;
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Repeat;
 use camphorhold::state::plan::Route;
@@ -50,6 +51,8 @@
 use crate::call;
 use crate::call::End;
 use crate::call::Passed;
+use crate::handover;
+use crate::handover::Ticket;
 use crate::merge;
 use crate::shared::Shared;
 
@@ -73,6 +76,9 @@
 /// A caller that opened a connection for the request has spent one more round trip.
 const CONNECT_MARGIN: Duration = Duration::from_millis(6);
 
+/// The way between two instances and back, and the work of the one that handed the query over.
+const HANDOVER_MARGIN: Duration = Duration::from_millis(5);
+
 /// How long before the caller stops waiting the final answer leaves.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 
@@ -90,9 +96,20 @@
 /// When a caller should come back, as a part of the latency objective.
 const RETRY_AFTER_SHARE: f64 = 0.1;
 
+/// Who sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A caller.
+    Caller,
+    /// Another instance, which hands a query over.
+    Instance,
+}
+
 /// Where a request came from.
 #[derive(Clone, Copy, Debug)]
 pub struct Origin {
+    /// Who sent it.
+    pub source: Source,
     /// When its head had arrived.
     pub arrived: Instant,
     /// Whether it is the first on its connection.
@@ -126,6 +143,13 @@
     let Some(plan) = plan else {
         return refuse(Duration::from_millis(100));
     };
+    let ticket = match origin.source {
+        Source::Caller => None,
+        Source::Instance => match handover::accept(&shared, &plan, &request) {
+            Some(ticket) => Some(ticket),
+            None => return plain(StatusCode::CONFLICT),
+        },
+    };
     let Some(route) = find_route(&plan, &request) else {
         log::info!(path = request.uri().path(), config_version = plan.version(); "no route");
         return plain(StatusCode::NOT_FOUND);
@@ -149,11 +173,17 @@
         deadline: origin.arrived + wait.min(route.timeout),
         route,
     });
-    let Some(request) = ask(&shared, &plan, &passed, wait, origin) else {
-        return plain(StatusCode::BAD_GATEWAY);
+    let Some(mut request) = ask(&shared, &plan, &passed, wait, origin) else {
+        return refuse(passed.route.objective.mul_f64(RETRY_AFTER_SHARE));
+    };
+    let Some(ticket) = ticket else {
+        let groups = hand_over(&shared, &passed.route, &mut request);
+        let end = run(&shared, &passed, request, plan.version(), groups).await;
+        return end.respond(&plan, &passed, origin);
     };
-    let end = run(&shared, &passed, request).await;
-    end.respond(&shared, &plan, &passed, origin)
+    restrict(&mut request, &ticket, origin.arrived);
+    let end = run(&shared, &passed, request, plan.version(), Vec::new()).await;
+    end.respond_to_instance(&plan, &passed, origin, &ticket)
 }
 
 fn find_route(plan: &Plan, request: &Request<Incoming>) -> Option<Arc<Route>> {
@@ -187,6 +217,7 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
+    headers.remove(handover::HEADER);
     for name in HOP_HEADERS.iter().chain(&named) {
         headers.remove(name);
     }
@@ -213,6 +244,7 @@
         .map(|service| Shard {
             terms: Shared::terms(plan, &service),
             service,
+            handed_over: false,
         })
         .collect();
     let used = shared.time_used(route, wait);
@@ -236,15 +268,56 @@
     })
 }
 
+/// Decides which shards of a query other instances ask.
+fn hand_over(shared: &Shared, route: &Route, request: &mut fanout::Request) -> Vec<Group> {
+    let Target::Shards(scope) = &route.target else {
+        return Vec::new();
+    };
+    let groups = shared.instances.borrow().assign(
+        &shared.fleet.borrow(),
+        &scope.shards,
+        shared.now(),
+        shared.jitter(),
+    );
+    for shard in groups.iter().flat_map(|group| &group.shards) {
+        request.shards[*shard].handed_over = true;
+    }
+    groups
+}
+
+/// Restricts a query to the shards that another instance has handed over. Any of them makes an
+/// answer, and an answer that is not due in time is no use.
+fn restrict(request: &mut fanout::Request, ticket: &Ticket, arrived: Instant) {
+    let mut position = 0;
+    request.shards.retain(|_| {
+        position += 1;
+        ticket.shards.contains(&(position - 1))
+    });
+    request.minimum = 0.0;
+    request.answer_by = arrived + ticket.due_in.saturating_sub(HANDOVER_MARGIN);
+    request.deadline = request.deadline.min(request.answer_by);
+}
+
 /// What came of a request.
 struct Finished {
+    ended: Instant,
     verdict: Verdict,
     fanout: Fanout,
     parts: Vec<Response<Bytes>>,
     failure: Option<Response<Bytes>>,
 }
 
-async fn run(shared: &Rc<Shared>, passed: &Rc<Passed>, request: fanout::Request) -> Finished {
+async fn run(
+    shared: &Rc<Shared>,
+    passed: &Rc<Passed>,
+    request: fanout::Request,
+    version: u64,
+    groups: Vec<Group>,
+) -> Finished {
+    let mut handovers: FuturesUnordered<_> = groups
+        .into_iter()
+        .map(|group| handover::start(shared, passed, version, group, request.answer_by))
+        .collect();
     let (expected, _) = shared.latency(&passed.route);
     let mut parts = Vec::with_capacity(request.shards.len());
     let mut failure = None;
@@ -268,6 +341,9 @@
             Some(end) = calls.next() => {
                 on_end(shared, &mut fanout, end, &mut sends, &mut parts, &mut failure);
             }
+            Some(end) = handovers.next() => {
+                on_handover_end(shared, &mut fanout, end, &mut sends, &mut parts);
+            }
             () = &mut timer => {
                 with_context(shared, |context| fanout.on_timer(context, &mut sends));
             }
@@ -280,6 +356,7 @@
         });
     }
     Finished {
+        ended: shared.now(),
         verdict,
         fanout,
         parts,
@@ -306,6 +383,26 @@
     }
 }
 
+fn on_handover_end(
+    shared: &Shared,
+    fanout: &mut Fanout,
+    end: handover::End,
+    sends: &mut Vec<Send>,
+    parts: &mut Vec<Response<Bytes>>,
+) {
+    parts.extend(end.answer);
+    with_context(shared, |context| {
+        for shard in end.shards {
+            let outcome = if end.answered.contains(&shard) {
+                Outcome::Part
+            } else {
+                end.rest
+            };
+            fanout.on_handed_over(shard, outcome, context, sends);
+        }
+    });
+}
+
 fn with_context<T, F>(shared: &Shared, decide: F) -> T
 where
     F: FnOnce(&mut Context<'_>) -> T,
@@ -321,14 +418,28 @@
 }
 
 impl Finished {
-    fn respond(
+    /// Returns the answer to a handover, which also tells which shards it holds.
+    fn respond_to_instance(
         self,
-        shared: &Shared,
         plan: &Plan,
         passed: &Passed,
         origin: Origin,
+        ticket: &Ticket,
     ) -> Response<Full<Bytes>> {
-        let elapsed = shared.now().saturating_duration_since(origin.arrived);
+        let answered: Vec<usize> = self
+            .fanout
+            .answered()
+            .filter_map(|position| ticket.shards.get(position).copied())
+            .collect();
+        let mut response = self.respond(plan, passed, origin);
+        if let Some(answered) = handover::answered(&answered) {
+            response.headers_mut().insert(handover::HEADER, answered);
+        }
+        response
+    }
+
+    fn respond(self, plan: &Plan, passed: &Passed, origin: Origin) -> Response<Full<Bytes>> {
+        let elapsed = self.ended.saturating_duration_since(origin.arrived);
         let (hedges, retries) = self.fanout.extra_calls();
         let outcome = self.outcome(passed, elapsed);
         metrics::counter!("camphorhold_requests_total", "outcome" => outcome).increment(1);
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -36,6 +36,7 @@
 
 use crate::request;
 use crate::request::Origin;
+use crate::request::Source;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
@@ -174,29 +175,36 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts callers' connections, for as long as the process runs.
-pub async fn serve_callers(
+/// Accepts connections with requests, for as long as the process runs.
+pub async fn serve_requests(
     shared: Rc<Shared>,
     connections: Rc<Connections>,
     listener: TcpListener,
+    source: Source,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let task = serve_caller(Rc::clone(&shared), Rc::clone(&connections), stream);
+                let task =
+                    serve_connection(Rc::clone(&shared), Rc::clone(&connections), stream, source);
                 tokio::task::spawn_local(task);
             }
             Err(error) => {
-                log::warn!(error:% = error; "cannot accept a caller's connection");
+                log::warn!(error:% = error; "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
-async fn serve_caller(shared: Rc<Shared>, connections: Rc<Connections>, stream: TcpStream) {
+async fn serve_connection(
+    shared: Rc<Shared>,
+    connections: Rc<Connections>,
+    stream: TcpStream,
+    source: Source,
+) {
     if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(error:% = error; "a caller's connection closed before its first request");
+        log::debug!(error:% = error; "a connection closed before its first request");
         return;
     }
     let activity = Rc::new(Activity {
@@ -218,10 +226,11 @@
         .map_or(DEFAULT_HEADER_BYTES, |plan| plan.limits().header_bytes);
     let first = Cell::new(true);
     let service = service_fn(|request| {
-        serve_request(&shared, &activity, request, first.replace(false))
+        serve_request(&shared, &activity, request, first.replace(false), source)
     });
     let connection = http1::Builder::new()
         .header_read_timeout(None)
+        .auto_date_header(false)
         .max_buf_size((header_bytes + BUFFER_SLACK_BYTES).max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -238,7 +247,7 @@
         }
     };
     if let Err(error) = result {
-        log::debug!(error:% = error; "a caller's connection broke");
+        log::debug!(error:% = error; "a connection broke");
     }
     connections.open.borrow_mut().remove(key);
 }
@@ -248,12 +257,14 @@
     activity: &Activity,
     request: Request<Incoming>,
     first: bool,
+    source: Source,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let now = shared.now();
     activity.busy.set(true);
     let origin = Origin {
         arrived: activity.head_since.take().unwrap_or(now),
         first,
+        source,
     };
     let mut response = request::handle(Rc::clone(shared), request, origin).await;
     if shared.phase.get() == Phase::Stopping {
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +11,8 @@
 use camphorhold::coordination::hedge::Delay;
 use camphorhold::coordination::serving::Allowances;
 use camphorhold::coordination::serving::Fleet;
+use camphorhold::coordination::serving::Instances;
+use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::Terms;
 use camphorhold::coordination::serving::split::Split;
 use camphorhold::state::plan::Plan;
@@ -67,8 +70,12 @@
     pub fleet: RefCell<Fleet>,
     /// The retry budgets.
     pub allowances: RefCell<Allowances>,
+    /// The other instances.
+    pub instances: RefCell<Instances>,
     /// Connections to leafs without a request.
-    pub pool: Pool,
+    pub pool: Pool<LeafKey>,
+    /// Connections to other instances without a query.
+    pub peers: Pool<SocketAddr>,
     /// Whether requests are taken.
     pub phase: Cell<Phase>,
     /// Requests in progress.
@@ -90,6 +97,7 @@
         let now = clock.now();
         let mut fleet = Fleet::new(settings.domain.clone());
         fleet.set_instances(INITIAL_INSTANCES);
+        let instances = Instances::new(settings.name.clone(), settings.domain.clone());
         let allowances = Allowances::new(settings.retries, INITIAL_INSTANCES, now);
         Self {
             settings,
@@ -97,7 +105,9 @@
             plan: RefCell::new(None),
             fleet: RefCell::new(fleet),
             allowances: RefCell::new(allowances),
+            instances: RefCell::new(instances),
             pool: Pool::default(),
+            peers: Pool::default(),
             phase: Cell::new(Phase::Starting),
             in_progress: Cell::new(0),
             profiles: RefCell::default(),
@@ -121,8 +131,12 @@
         self.plan.borrow().as_ref().map_or(0, |plan| plan.version())
     }
 
-    /// Divides the limits that all instances share.
-    pub fn set_instances(&self, instances: usize) {
+    /// Divides the limits that all instances share by their present number.
+    pub fn divide_limits(&self) {
+        let instances = self.instances.borrow().count(self.now());
+        if instances == 0 {
+            return;
+        }
         self.fleet.borrow_mut().set_instances(instances);
         self.allowances.borrow_mut().set_instances(instances);
     }
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -41,6 +41,8 @@
     pub service: Box<str>,
     /// The limits of its leafs.
     pub terms: Terms,
+    /// Whether another instance asks it.
+    pub handed_over: bool,
 }
 
 /// What is asked, and by when an answer is useful.
@@ -154,6 +156,9 @@
     /// Starts a request and returns its first calls.
     pub fn start(request: Request, context: &mut Context<'_>) -> (Self, Vec<Send>) {
         let open = u32::try_from(request.shards.len()).unwrap_or(u32::MAX);
+        let direct: Vec<usize> = (0..request.shards.len())
+            .filter(|index| !request.shards[*index].handed_over)
+            .collect();
         let mut fanout = Self {
             shards: request
                 .shards
@@ -184,10 +189,9 @@
             retries: 0,
         };
         let mut sends = Vec::with_capacity(fanout.shards.len());
-        for index in 0..fanout.shards.len() {
-            context
-                .allowances
-                .on_request(&fanout.shards[index].service, context.now);
+        for index in direct {
+            let service = &fanout.shards[index].service;
+            context.allowances.on_request(service, context.now);
             fanout.send_or_wait(index, context, &mut sends);
         }
         (fanout, sends)
@@ -211,11 +215,7 @@
             return;
         }
         match outcome {
-            Outcome::Part => {
-                progress.state = State::Answered;
-                self.answered += 1;
-                self.open -= 1;
-            }
+            Outcome::Part => self.answer(shard),
             Outcome::Unsent => {
                 progress.unsent += 1;
                 progress.arrivals = progress.arrivals.saturating_sub(1);
@@ -234,6 +234,39 @@
         }
     }
 
+    /// Handles what became of a shard at the instance to which it was handed over. If it has no
+    /// answer, this instance asks a leaf itself; that call is an extra one if the other instance may
+    /// have made one.
+    pub fn on_handed_over(
+        &mut self,
+        shard: usize,
+        outcome: Outcome,
+        context: &mut Context<'_>,
+        sends: &mut Vec<Send>,
+    ) {
+        let progress = &mut self.shards[shard];
+        if progress.state != State::Open {
+            return;
+        }
+        match outcome {
+            Outcome::Part => {
+                self.may_have_run = true;
+                self.answer(shard);
+                return;
+            }
+            Outcome::Failed => {
+                self.may_have_run = true;
+                progress.arrivals += 1;
+            }
+            Outcome::NotRun | Outcome::Unsent => {
+                context
+                    .allowances
+                    .on_request(&progress.service, context.now);
+            }
+        }
+        self.send_or_wait(shard, context, sends);
+    }
+
     /// Handles the passing of time. Hedges and calls that waited for a leaf are added to `sends`.
     pub fn on_timer(&mut self, context: &mut Context<'_>, sends: &mut Vec<Send>) {
         for index in 0..self.shards.len() {
@@ -317,10 +350,9 @@
             .map(|progress| &*progress.service)
     }
 
-    /// Returns the service at a position of the request.
-    #[must_use]
-    pub fn service(&self, shard: usize) -> &str {
-        &self.shards[shard].service
+    /// Returns the positions of the shards that have answered.
+    pub fn answered(&self) -> impl Iterator<Item = usize> {
+        (0..self.shards.len()).filter(|shard| self.shards[*shard].state == State::Answered)
     }
 
     fn reaches_minimum(&self) -> bool {
@@ -333,6 +365,12 @@
             .any(|progress| !progress.in_flight.is_empty())
     }
 
+    fn answer(&mut self, shard: usize) {
+        self.shards[shard].state = State::Answered;
+        self.answered += 1;
+        self.open -= 1;
+    }
+
     fn fail(&mut self, shard: usize) {
         let progress = &mut self.shards[shard];
         if progress.state == State::Open {
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -380,6 +380,21 @@
         })
     }
 
+    /// Tells whether a service has a leaf in a failure domain that may receive work now.
+    #[must_use]
+    pub fn covers(&self, service: &str, domain: &str, now: Instant) -> bool {
+        self.by_service.get(service).is_some_and(|members| {
+            members
+                .iter()
+                .filter_map(|key| self.leafs.get(*key))
+                .any(|leaf| {
+                    &*leaf.entry.domain == domain
+                        && self.is_permitted(leaf)
+                        && leaf.backoff_until.is_none_or(|until| now >= until)
+                })
+        })
+    }
+
     fn is_permitted(&self, leaf: &Leaf) -> bool {
         leaf.entry.standing == Standing::Ready
             && !leaf.replaced
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -14,3 +14,4 @@
 pub use self::allowance::Allowances;
 pub use self::fanout::Fanout;
 pub use self::fleet::Fleet;
+pub use self::instances::Instances;
