--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -257,6 +257,12 @@
             Outcome::Failed => {
                 self.may_have_run = true;
                 progress.arrivals += 1;
+                // The other instance may have asked as many leafs as are permitted, and any further
+                // one would be too many.
+                if context.fleet.count(&progress.service) > self.max_leafs {
+                    self.fail(shard);
+                    return;
+                }
             }
             Outcome::NotRun | Outcome::Unsent => {
                 context
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -311,6 +311,12 @@
         self.leafs.get(key)
     }
 
+    /// Counts the leafs of a service, also those that take no work.
+    #[must_use]
+    pub fn count(&self, service: &str) -> usize {
+        self.by_service.get(service).map_or(0, Vec::len)
+    }
+
     /// Counts the leafs.
     #[must_use]
     pub fn len(&self) -> usize {
