--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -13,6 +13,7 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
 use crate::exposition;
@@ -30,9 +31,6 @@
 /// How often a shutdown looks at the requests in progress.
 const SHUTDOWN_TICK: Duration = Duration::from_millis(25);
 
-/// Time for the last answers to leave.
-const FLUSH_TIME: Duration = Duration::from_millis(60);
-
 /// Why an instance cannot start.
 #[derive(Debug, Error, miette::Diagnostic)]
 pub enum StartError {
@@ -87,22 +85,20 @@
     tokio::task::spawn_local(Follower::new(Rc::clone(&shared)).run());
     tokio::task::spawn_local(registration::run(Rc::clone(&shared)));
     tokio::task::spawn_local(server::serve_readiness(Rc::clone(&shared), readiness));
-    tokio::task::spawn_local(server::serve_requests(
-        Rc::clone(&shared),
-        Rc::clone(&connections),
-        callers,
-        Source::Caller,
-    ));
-    tokio::task::spawn_local(server::serve_requests(
-        Rc::clone(&shared),
-        Rc::clone(&connections),
-        peers,
-        Source::Instance,
-    ));
+    let accepting = [(callers, Source::Caller), (peers, Source::Instance)].map(
+        |(listener, source)| {
+            tokio::task::spawn_local(server::serve_requests(
+                Rc::clone(&shared),
+                Rc::clone(&connections),
+                listener,
+                source,
+            ))
+        },
+    );
     tokio::task::spawn_local(exposition::serve(metrics.0, metrics.1));
     tokio::task::spawn_local(sweep(Rc::clone(&shared), Rc::clone(&connections)));
     wait_for_end(&mut terminate, &mut reload, &shared, path).await;
-    stop(&shared, &connections).await;
+    stop(&shared, &connections, &accepting).await;
     Ok(())
 }
 
@@ -150,14 +146,21 @@
     }
 }
 
-async fn stop(shared: &Shared, connections: &Connections) {
+/// Serves until the load balancer has taken the instance out, then closes what is idle and waits
+/// for the rest.
+async fn stop(shared: &Shared, connections: &Connections, accepting: &[JoinHandle<()>]) {
     shared.phase.set(Phase::Stopping);
     let shutdown = Shutdown::new(shared.now(), shared.settings.grace);
     log::info!(in_progress = shared.in_progress.get(), connections = connections.len(); "stopping");
-    while !shutdown.is_over(shared.now(), shared.in_progress.get()) {
+    while shutdown.is_in_rotation(shared.now()) {
         tokio::time::sleep(SHUTDOWN_TICK).await;
     }
+    for task in accepting {
+        task.abort();
+    }
     connections.close_all();
-    tokio::time::sleep(FLUSH_TIME).await;
-    log::info!(in_progress = shared.in_progress.get(); "stopped");
+    while connections.len() > 0 && !shutdown.is_over(shared.now()) {
+        tokio::time::sleep(SHUTDOWN_TICK).await;
+    }
+    log::info!(in_progress = shared.in_progress.get(), connections = connections.len(); "stopped");
 }
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Closes every connection once its request has ended.
+    /// Closes every connection, a busy one once its request has ended.
     pub fn close_all(&self) {
         for (_, activity) in self.open.borrow().iter() {
             activity.close.notify_one();
--- a/lib/src/coordination/serving/shutdown.rs
+++ b/lib/src/coordination/serving/shutdown.rs
@@ -1,7 +1,7 @@
 //! The end of an instance that was asked to stop.
 //!
 //! The load balancer needs time to see that the instance is not ready. Until then new requests
-//! still arrive and are served; after that the instance ends as soon as nothing is in progress.
+//! still arrive and are served; after that the instance ends as soon as no connection is open.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -27,13 +27,15 @@
         Self { requested, grace }
     }
 
-    /// Tells whether the instance should end now.
+    /// Tells whether the load balancer may still send new connections.
     #[must_use]
-    pub fn is_over(&self, now: Instant, in_progress: usize) -> bool {
-        let elapsed = now.saturating_duration_since(self.requested);
-        if elapsed >= self.grace.saturating_sub(CLOSING_TIME) {
-            return true;
-        }
-        in_progress == 0 && elapsed >= ROTATION_TIME
+    pub fn is_in_rotation(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.requested) < ROTATION_TIME
+    }
+
+    /// Tells whether the grace period is about to end.
+    #[must_use]
+    pub fn is_over(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.requested) >= self.grace.saturating_sub(CLOSING_TIME)
     }
 }
