--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -20,14 +20,13 @@
 use crate::shared::Phase;
 use crate::shared::Shared;
 
-/// How long one watch waits. The answer of a watch may be lost while its connection stays open, and
-/// then only its absence shows it. The wait and the slack for the answer have to end before the
-/// store counts as undisturbed for 4 s and a change is due 3 s later.
-const WATCH_WAIT: Duration = Duration::from_millis(4_500);
+/// Time kept back of the settling time and the time for a change: for the answer of a watch that
+/// does not come, for a new connection, and for a slow store.
+const WATCH_RESERVE: Duration = Duration::from_millis(2_500);
 
-/// Pause after changes, so that a burst of them is read with a few calls. Calls are billed, and the
-/// tightest bound on a change is 3 s.
-const BATCH_PAUSE: Duration = Duration::from_millis(250);
+/// The part of the time for a change that is spent waiting for further changes, so that a burst of
+/// them is read with few calls. Calls are billed.
+const BATCH_SHARE: f64 = 0.15;
 
 /// Pauses after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
@@ -119,8 +118,17 @@
         Ok(listing.revision)
     }
 
+    /// Returns how long one watch waits. The answer of a watch may be lost while its connection stays
+    /// open, and then only its absence shows it: before the store counts as undisturbed again and a
+    /// change made then has to be in force.
+    fn watch_wait(&self) -> Duration {
+        let settings = &self.shared.settings;
+        let bound = settings.settling_time + settings.change_time;
+        bound.saturating_sub(WATCH_RESERVE).max(WATCH_RESERVE)
+    }
+
     async fn read_changes(&mut self, revision: u64) -> Result<u64, StoreError> {
-        let changes = self.store.watch(revision, WATCH_WAIT).await?;
+        let changes = self.store.watch(revision, self.watch_wait()).await?;
         self.on_success();
         let any = !changes.events.is_empty();
         // Only the last change of an item matters.
@@ -137,7 +145,8 @@
         }
         self.after_changes();
         if any {
-            tokio::time::sleep(BATCH_PAUSE).await;
+            let change_time = self.shared.settings.change_time;
+            tokio::time::sleep(change_time.mul_f64(BATCH_SHARE)).await;
         }
         Ok(changes.revision)
     }
