tests: guard the serving parts, the translation and the process

Tests that need no bench: the state machines in virtual time, the decoding of settings and entries, and instances as processes against a stand-in of the platform (store with lost watches, refusals and compaction; leafs that hang, lose, repeat, truncate, refuse).

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -39,7 +39,7 @@
     // Connections within a region take below 10 ms; a lost opening packet is sent again after a
     // second, which is too late for most requests.
     connect_timeout: Duration::from_millis(300),
-    send_timeout: Duration::from_millis(2_000),
+    send_timeout: Duration::from_secs(2),
     // Probes of idle connections would cost more bytes between failure domains than the requests
     // that they save.
     probe_interval: None,
@@ -127,7 +127,11 @@
     let (outcome, report, answer) = match result {
         Ok(answer) => {
             let (outcome, report) = judge(&passed, &answer, latency);
-            (outcome, report, Some(answer).filter(|answer| answers(&passed, answer)))
+            (
+                outcome,
+                report,
+                Some(answer).filter(|answer| answers(&passed, answer)),
+            )
         }
         Err(error) => {
             let outcome = match error {
@@ -181,12 +185,11 @@
         Repeat::Idempotent => shared.pool.take(leaf, shared.now()),
         Repeat::Once => None,
     };
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => {
-            metrics::counter!("camphorhold_leaf_connections_total").increment(1);
-            Connection::open(address, LIVENESS).await?
-        }
+    let mut connection = if let Some(connection) = pooled {
+        connection
+    } else {
+        metrics::counter!("camphorhold_leaf_connections_total").increment(1);
+        Connection::open(address, LIVENESS).await?
     };
     let request = build(passed, &id, shared.now());
     passed.sent.set(true);
@@ -257,7 +260,8 @@
     if headers.contains_key(header::NOT_RUN) {
         return (Outcome::NotRun, Report::Refused);
     }
-    let genuine = headers.contains_key(header::SIGNATURE) && !headers.contains_key(CONTENT_ENCODING);
+    let genuine =
+        headers.contains_key(header::SIGNATURE) && !headers.contains_key(CONTENT_ENCODING);
     if status.is_success() && genuine {
         (Outcome::Part, Report::Answered(latency))
     } else {
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -49,7 +49,7 @@
 const LIVENESS: Liveness = Liveness {
     // A round trip within a region takes a few milliseconds, and the query still has to run.
     connect_timeout: Duration::from_millis(25),
-    send_timeout: Duration::from_millis(1_000),
+    send_timeout: Duration::from_secs(1),
     probe_interval: None,
 };
 
--- a/instance/src/logging.rs
+++ b/instance/src/logging.rs
@@ -70,7 +70,9 @@
         let dropped = queue.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             metrics::counter!("camphorhold_log_lines_dropped_total").increment(dropped);
-            let note = format!("{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"dropped\":{dropped}}}\n");
+            let note = format!(
+                "{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"dropped\":{dropped}}}\n"
+            );
             batch.extend_from_slice(note.as_bytes());
         }
         let mut output = std::io::stdout().lock();
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -85,16 +85,15 @@
     tokio::task::spawn_local(Follower::new(Rc::clone(&shared)).run());
     tokio::task::spawn_local(registration::run(Rc::clone(&shared)));
     tokio::task::spawn_local(server::serve_readiness(Rc::clone(&shared), readiness));
-    let accepting = [(callers, Source::Caller), (peers, Source::Instance)].map(
-        |(listener, source)| {
+    let accepting =
+        [(callers, Source::Caller), (peers, Source::Instance)].map(|(listener, source)| {
             tokio::task::spawn_local(server::serve_requests(
                 Rc::clone(&shared),
                 Rc::clone(&connections),
                 listener,
                 source,
             ))
-        },
-    );
+        });
     tokio::task::spawn_local(exposition::serve(metrics.0, metrics.1));
     tokio::task::spawn_local(sweep(Rc::clone(&shared), Rc::clone(&connections)));
     wait_for_end(&mut terminate, &mut reload, &shared, path).await;
@@ -106,12 +105,7 @@
     server::listen(address).map_err(|source| StartError::Listen { address, source })
 }
 
-async fn wait_for_end(
-    terminate: &mut Signal,
-    reload: &mut Signal,
-    shared: &Shared,
-    path: &Path,
-) {
+async fn wait_for_end(terminate: &mut Signal, reload: &mut Signal, shared: &Shared, path: &Path) {
     loop {
         tokio::select! {
             _ = terminate.recv() => return,
--- a/instance/src/registration.rs
+++ b/instance/src/registration.rs
@@ -17,7 +17,7 @@
 
 /// The lifetime of a registration: the longest that the store permits. The others count an
 /// instance for a while after its end anyway, so a short one would only cost renewals.
-const LIFETIME: Duration = Duration::from_secs(600);
+const LIFETIME: Duration = Duration::from_mins(10);
 
 /// Renewals per lifetime.
 const RENEWALS: u32 = 5;
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -9,13 +9,13 @@
 use bytes::Bytes;
 use camphorhold::coordination::merge::Coverage;
 use camphorhold::coordination::serving::Fanout;
+use camphorhold::coordination::serving::fanout;
 use camphorhold::coordination::serving::fanout::Context;
 use camphorhold::coordination::serving::fanout::Outcome;
 use camphorhold::coordination::serving::fanout::Reason;
 use camphorhold::coordination::serving::fanout::Send;
 use camphorhold::coordination::serving::fanout::Shard;
 use camphorhold::coordination::serving::fanout::Verdict;
-use camphorhold::coordination::serving::fanout;
 use camphorhold::coordination::serving::instances::Group;
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Repeat;
@@ -455,7 +455,12 @@
                 reason,
                 may_have_run,
                 ..
-            } => give_up(passed, self.failure, reason, may_have_run && passed.sent.get()),
+            } => give_up(
+                passed,
+                self.failure,
+                reason,
+                may_have_run && passed.sent.get(),
+            ),
         }
     }
 
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -87,9 +87,7 @@
             }
             let expired = match activity.head_since.get() {
                 Some(since) => now.saturating_duration_since(since) > header_timeout,
-                None => {
-                    now.saturating_duration_since(activity.idle_since.get()) > idle_timeout
-                }
+                None => now.saturating_duration_since(activity.idle_since.get()) > idle_timeout,
             };
             if expired {
                 activity.close.notify_one();
--- /dev/null
+++ b/instance/tests/process.rs
@@ -0,0 +1,315 @@
+//! Guards the promises to callers and leafs, with instances as processes against the stand-in of
+//! the platform.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use camphorhold_testutils::platform::leaf::Behaviour;
+use camphorhold_testutils::platform::store::Fault;
+use hyper::Response;
+use hyper::StatusCode;
+use support::Instance;
+use support::Platform;
+use support::command;
+use support::exchange;
+use support::wait_until;
+
+const TWO_SHARDS: [(&str, &str); 4] = [("s1", "a"), ("s1", "b"), ("s2", "a"), ("s2", "b")];
+
+fn header<'a>(answer: &'a Response<Bytes>, name: &str) -> &'a str {
+    let value = answer.headers().get(name);
+    value.map_or("", |value| value.to_str().unwrap_or_default())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_query_is_merged_from_all_shards() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let answer = instance.send("r1", "/all/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(header(&answer, "x-camphorhold-missing-parts"), "0");
+    let mut stamps: Vec<&str> = header(&answer, "x-camphorhold-part-stamps")
+        .split(',')
+        .collect();
+    stamps.sort_unstable();
+    assert_eq!(stamps, ["i-0-r1", "i-2-r1"]);
+    let records = [platform.leafs[2].record(), platform.leafs[0].record()].concat();
+    assert_eq!(answer.body(), &records);
+    assert_eq!(platform.runs(), 2);
+    let run = &platform.leafs[0].runs()[0];
+    assert_eq!(run.expected, "i-0");
+    assert!(run.deadline_ms <= 3_000 && run.deadline_ms > 2_000);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shard_whose_leafs_hang_is_left_out_when_the_answer_is_due() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.leafs[0].set_behaviour(Behaviour::Hang);
+    platform.leafs[1].set_behaviour(Behaviour::Hang);
+    let answer = instance.send("r1", "/all/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(header(&answer, "x-camphorhold-missing-parts"), "1");
+    assert_eq!(answer.body(), &platform.leafs[2].record()[..]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hanging_leaf_is_hedged() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.leafs[0].set_behaviour(Behaviour::Hang);
+    let answer = instance.send("r1", "/one/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(header(&answer, "x-camphorhold-server-stamp"), "i-1-r1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_answer_never_reaches_another_caller() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.leafs[0].set_behaviour(Behaviour::Repeat);
+    let mut connection = instance.connect().await;
+    for number in 0..5 {
+        let id = format!("r{number}");
+        let answer = exchange(&mut connection, &id, "/one/x").await.unwrap();
+        let stamp = header(&answer, "x-camphorhold-server-stamp");
+        assert!(stamp.ends_with(&id), "{stamp} answers {id}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_truncated_answer_is_not_passed_on() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.leafs[0].set_behaviour(Behaviour::Truncate);
+    let answer = instance.send("r1", "/one/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(header(&answer, "x-camphorhold-server-stamp"), "i-1-r1");
+}
+
+/// A request that runs at most once and whose answer is lost may have run: it is neither sent
+/// again nor reported as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_not_repeated_if_the_request_runs_at_most_once() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.leafs[0].set_behaviour(Behaviour::Lose);
+    let answer = instance.send("r1", "/once/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(platform.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_request_goes_to_another_leaf() {
+    for refusal in [Behaviour::Refuse, Behaviour::Misdirect] {
+        let platform = Platform::start(&TWO_SHARDS).await;
+        let instance = Instance::start(&platform, "1", "a").await;
+        platform.leafs[0].set_behaviour(refusal);
+        let answer = instance.send("r1", "/once/x").await.unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+        assert_eq!(header(&answer, "x-camphorhold-server-stamp"), "i-1-r1");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_all_leafs_refuse_is_refused_as_not_run() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    for leaf in &platform.leafs {
+        leaf.set_behaviour(Behaviour::Refuse);
+    }
+    let answer = instance.send("r1", "/once/x").await.unwrap();
+    // The leafs say that they have not run it, so the caller may be told the same.
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!header(&answer, "retry-after").is_empty());
+    assert_eq!(platform.runs(), 0);
+}
+
+/// A leaf that works on for a caller who has left takes slots from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaf_learns_that_the_caller_has_left() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    for leaf in &platform.leafs {
+        leaf.set_behaviour(Behaviour::Hang);
+    }
+    let send = instance.send("r1", "/all/x");
+    let left = tokio::time::timeout(Duration::from_millis(200), send).await;
+    assert!(left.is_err());
+    wait_until("the calls are closed", || async {
+        platform.leafs.iter().all(|leaf| leaf.connections() == 0)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_leaf_gets_no_new_requests() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let leaf = &platform.leafs[0];
+    platform.store.put(&leaf.key(), &leaf.entry("draining"));
+    wait_until("the other leaf is used", || async {
+        let answer = instance.send("r", "/one/x").await.unwrap();
+        header(&answer, "x-camphorhold-server-stamp").starts_with("i-1")
+    })
+    .await;
+    let runs = leaf.runs().len();
+    for _ in 0..5 {
+        instance.send("r", "/one/x").await.unwrap();
+    }
+    assert_eq!(leaf.runs().len(), runs);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_configuration_takes_effect_and_an_older_one_does_not() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.configure(5, &["s2", "s1"]);
+    wait_until("the new configuration is in force", || async {
+        let answer = instance.send("r", "/one/x").await.unwrap();
+        header(&answer, "x-camphorhold-server-stamp").starts_with("i-2")
+    })
+    .await;
+    platform.configure(4, &["s1", "s2"]);
+    platform.configure(6, &["s2", "s1"]);
+    for _ in 0..20 {
+        let answer = instance.send("r", "/one/x").await.unwrap();
+        assert!(header(&answer, "x-camphorhold-server-stamp").starts_with("i-2"));
+    }
+}
+
+/// Found by the bench (hunt-1a68-3): the store may lose the answer of a watch and keep its
+/// connection open. An instance that waits for it hears of no change.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_watch_is_replaced() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.store.set_fault(Fault::LoseWatches);
+    let calls = platform.store.calls();
+    platform.configure(5, &["s1", "s2"]);
+    wait_until("a watch has started that will be lost", || async {
+        platform.store.calls() > calls
+    })
+    .await;
+    platform.store.set_fault(Fault::None);
+    platform.configure(7, &["s2", "s1"]);
+    let in_force = wait_until("the change is in force", || async {
+        let answer = instance.send("r", "/one/x").await.unwrap();
+        header(&answer, "x-camphorhold-server-stamp").starts_with("i-2")
+    });
+    // The settling time and the time for a change, twice for a busy machine.
+    let bound = 2 * Duration::from_secs(4 + 3);
+    tokio::time::timeout(bound, in_force).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_made_before_the_history_was_dropped_are_found() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.store.set_fault(Fault::Refuse);
+    platform.configure(5, &["s2", "s1"]);
+    platform.store.remove(&platform.leafs[2].key());
+    platform.store.compact();
+    platform.store.set_fault(Fault::None);
+    wait_until("the change is in force", || async {
+        let answer = instance.send("r", "/one/x").await.unwrap();
+        header(&answer, "x-camphorhold-server-stamp").starts_with("i-3")
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_served_while_the_store_refuses_calls() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.store.set_fault(Fault::Refuse);
+    platform.configure(2, &["s1", "s2"]);
+    let failed = "camphorhold_store_calls_total{outcome=\"failed\"}";
+    wait_until("calls to the store fail", || async {
+        instance.counter(failed).await > 2
+    })
+    .await;
+    assert!(instance.is_ready().await);
+    let answer = instance.send("r1", "/all/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_path_without_a_route_is_not_found() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let answer = instance.send("r1", "/none/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::NOT_FOUND);
+}
+
+/// Each shard without a local leaf would cost a call between failure domains.
+#[tokio::test(flavor = "multi_thread")]
+async fn shards_without_a_local_leaf_are_asked_by_an_instance_near_them() {
+    let far = [("s1", "b"), ("s2", "b"), ("s3", "b"), ("s4", "a")];
+    let platform = Platform::start(&far).await;
+    let near = Instance::start(&platform, "1", "a").await;
+    let _far = Instance::start(&platform, "2", "b").await;
+    wait_until("both are registered", || async {
+        platform.store.count("camphorhold/instances/") == 2
+    })
+    .await;
+    let handovers = "camphorhold_handovers_total{outcome=\"answered\"}";
+    wait_until("a query is handed over", || async {
+        let answer = near.send("r", "/all/x").await.unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+        near.counter(handovers).await > 0
+    })
+    .await;
+    let runs = platform.runs();
+    let answer = near.send("r1", "/all/x").await.unwrap();
+    assert_eq!(header(&answer, "x-camphorhold-missing-parts"), "0");
+    assert_eq!(
+        header(&answer, "x-camphorhold-part-stamps")
+            .split(',')
+            .count(),
+        4
+    );
+    assert_eq!(platform.runs(), runs + 4);
+    let records = [platform.leafs[3].record(), platform.leafs[2].record()].concat();
+    assert_eq!(answer.body(), &records);
+}
+
+/// Found by the bench (fresh-6c35): requests that arrived while the process closed its connections
+/// were cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shutdown_answers_every_request_it_has_read() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let mut instance = Instance::start(&platform, "1", "a").await;
+    for leaf in &platform.leafs {
+        leaf.set_behaviour(Behaviour::Slow(Duration::from_millis(30)));
+    }
+    instance.terminate();
+    wait_until("the instance is not ready", || async {
+        !instance.is_ready().await
+    })
+    .await;
+    let mut answered = 0;
+    while let Ok(answer) = instance.send("r1", "/all/x").await {
+        assert_eq!(answer.status(), StatusCode::OK);
+        answered += 1;
+    }
+    assert!(answered > 10, "only {answered} requests were served");
+    wait_until("the process has ended", || {
+        let code = instance.exit_code();
+        std::future::ready(code == Some(0))
+    })
+    .await;
+}
+
+#[test]
+fn settings_that_cannot_be_used_are_named() {
+    let path = std::env::temp_dir().join(format!("camphorhold-bad-{}.yaml", std::process::id()));
+    std::fs::write(&path, "node_name: x\n").unwrap();
+    let output = command().arg("--settings").arg(&path).output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(error.contains("missing field"), "{error}");
+}
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -365,7 +365,11 @@
             reason = "the product lies between 0 and the number of members"
         )]
         let start = (jitter * count as f32) as usize;
-        let rotated = members.iter().cycle().skip(start % count).take(members.len());
+        let rotated = members
+            .iter()
+            .cycle()
+            .skip(start % count)
+            .take(members.len());
         rotated
             .filter(|key| !avoid.contains(key))
             .filter_map(|key| Some((*key, self.leafs.get(*key)?)))
@@ -488,12 +492,8 @@
                 leaf.backoff_until = None;
                 leaf.add_sample(now, slowness(latency), false);
             }
-            Report::Refused => {
-                leaf.backoff_until = None;
-                leaf.add_outcome(now, true);
-            }
             Report::Replaced => leaf.replaced = true,
-            Report::Failed => {
+            Report::Refused | Report::Failed => {
                 leaf.backoff_until = None;
                 leaf.add_outcome(now, true);
             }
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -15,7 +15,7 @@
 
 /// An instance whose registration is gone counts for this long. It may still run, cut off from the
 /// store, and a number that is too high only makes the others more careful.
-const MEMORY: Duration = Duration::from_secs(60);
+const MEMORY: Duration = Duration::from_mins(1);
 
 /// The smallest number of shards that is handed over. A handover moves about as many bytes as two
 /// calls.
--- a/lib/src/transport/http.rs
+++ b/lib/src/transport/http.rs
@@ -118,13 +118,16 @@
     ) -> Result<Response<Bytes>, Error> {
         let sender = &mut self.sender;
         let mut answer = pin!(async move {
-            let response = sender.try_send_request(request).await.map_err(|mut error| {
-                if error.take_message().is_some() {
-                    Error::Unsent(error.into_error())
-                } else {
-                    Error::Lost(error.into_error())
-                }
-            })?;
+            let response = sender
+                .try_send_request(request)
+                .await
+                .map_err(|mut error| {
+                    if error.take_message().is_some() {
+                        Error::Unsent(error.into_error())
+                    } else {
+                        Error::Lost(error.into_error())
+                    }
+                })?;
             let (head, body) = response.into_parts();
             let body = Limited::new(body, limit).collect().await.map_err(|error| {
                 if error.is::<LengthLimitError>() {
--- /dev/null
+++ b/lib/tests/serving_parts.rs
@@ -0,0 +1,181 @@
+//! Guards the parts that divide what all instances share.
+
+mod serving_support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use camphorhold::coordination::serving::Allowances;
+use camphorhold::coordination::serving::Instances;
+use camphorhold::coordination::serving::allowance::Bound;
+use camphorhold::coordination::serving::allowance::Use;
+use camphorhold::coordination::serving::instances::Handover;
+use camphorhold::coordination::serving::instances::Location;
+use camphorhold::coordination::serving::shutdown::Shutdown;
+use camphorhold::coordination::serving::split::Split;
+use camphorhold::state::plan::Share;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serving_support::fleet;
+use serving_support::ms;
+
+const BOUND: Bound = Bound {
+    ratio: 0.2,
+    extra: 54.0,
+    window: Duration::from_secs(10),
+};
+
+const INSTANCES: usize = 7;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(0x5e21),
+        ..ProptestConfig::default()
+    })]
+
+    /// The bound counts the extra calls of all instances in any window, against the requests of
+    /// that window, the one before it or the one half a window before it.
+    #[test]
+    fn the_sum_over_all_instances_keeps_the_bound(
+        events in proptest::collection::vec((0..INSTANCES, 0..40_u64, any::<bool>()), 1..800),
+    ) {
+        let start = Instant::now();
+        let mut all: Vec<Allowances> = (0..INSTANCES)
+            .map(|_| Allowances::new(BOUND, INSTANCES, start))
+            .collect();
+        let mut now = start;
+        let mut requests = Vec::new();
+        let mut extras = Vec::new();
+        for (instance, pause, hedge) in events {
+            now += ms(pause);
+            all[instance].on_request("s", now);
+            requests.push(now);
+            let purpose = if hedge { Use::Hedge } else { Use::Retry };
+            while all[instance].take("s", purpose, now) {
+                extras.push(now);
+            }
+        }
+        let count = |times: &[Instant], from: Instant| {
+            times.iter().filter(|time| **time >= from && **time < from + BOUND.window).count()
+        };
+        for &from in &extras {
+            let earlier = |by: Duration| from.checked_sub(by).map_or(0, |at| count(&requests, at));
+            let most = count(&requests, from)
+                .max(earlier(BOUND.window / 2))
+                .max(earlier(BOUND.window));
+            #[expect(clippy::cast_precision_loss, reason = "the counts are small")]
+            let allowed = most as f64 * BOUND.ratio + BOUND.extra;
+            #[expect(clippy::cast_precision_loss, reason = "the counts are small")]
+            let used = count(&extras, from) as f64;
+            prop_assert!(used <= allowed, "{used} extra calls, {allowed} allowed");
+        }
+    }
+
+    /// Shares that drift would break the bound on weights.
+    #[test]
+    fn a_split_stays_close_to_its_weights(
+        weights in proptest::collection::vec(0.0..10.0_f64, 1..5),
+        requests in 1..400_u32,
+    ) {
+        let shares: Vec<Share> = weights
+            .iter()
+            .enumerate()
+            .map(|(index, weight)| Share { service: index.to_string().into(), weight: *weight })
+            .collect();
+        let total: f64 = weights.iter().sum();
+        prop_assume!(total > 0.0);
+        let mut split = Split::default();
+        let mut counts = vec![0.0; weights.len()];
+        for _ in 0..requests {
+            let index: usize = split.next(&shares).unwrap().parse().unwrap();
+            counts[index] += 1.0;
+        }
+        for (count, weight) in counts.iter().zip(&weights) {
+            let exact = f64::from(requests) * weight / total;
+            #[expect(clippy::cast_precision_loss, reason = "there are few services")]
+            let bound = weights.len() as f64;
+            prop_assert!((count - exact).abs() <= bound, "{count} instead of {exact}");
+        }
+    }
+}
+
+/// Retries replace answers that are lost for certain; hedges must not use up what they need.
+#[test]
+fn hedges_leave_a_reserve_for_retries() {
+    let now = Instant::now();
+    let mut allowances = Allowances::new(BOUND, 1, now);
+    while allowances.take("s", Use::Hedge, now) {}
+    assert!(allowances.take("s", Use::Retry, now));
+}
+
+#[test]
+fn an_instance_that_lost_its_registration_still_counts_for_a_while() {
+    let now = Instant::now();
+    let mut instances = Instances::new("1".into(), "a".into());
+    instances.add("1", None);
+    instances.add("2", None);
+    instances.remove("2", now);
+    assert_eq!(instances.count(now + ms(59_000)), 2);
+    assert_eq!(instances.count(now + ms(60_000)), 1);
+}
+
+fn location(domain: &str) -> Location {
+    Location {
+        domain: domain.into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 7000)),
+    }
+}
+
+fn services(names: &[&str]) -> Vec<Box<str>> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+#[test]
+fn shards_without_a_leaf_in_the_own_domain_are_handed_over() {
+    let now = Instant::now();
+    let leafs = [
+        ("1", "s1", "a"),
+        ("2", "s2", "b"),
+        ("3", "s3", "b"),
+        ("4", "s4", "b"),
+        ("5", "s5", "c"),
+    ];
+    let fleet = fleet(&leafs, now);
+    let mut instances = Instances::new("1".into(), "a".into());
+    instances.add("2", Some(location("b")));
+    instances.add("3", Some(location("c")));
+    let shards = services(&["s1", "s2", "s3", "s4", "s5"]);
+    let groups = instances.assign(&fleet, &shards, now, 0.0);
+    assert_eq!(groups.len(), 1);
+    assert_eq!(&*groups[0].name, "2");
+    assert_eq!(groups[0].shards, [1, 2, 3]);
+}
+
+#[test]
+fn an_instance_that_failed_is_left_out_and_tried_again() {
+    let now = Instant::now();
+    let leafs = [("2", "s2", "b"), ("3", "s3", "b"), ("4", "s4", "b")];
+    let fleet = fleet(&leafs, now);
+    let mut instances = Instances::new("1".into(), "a".into());
+    instances.add("2", Some(location("b")));
+    let shards = services(&["s2", "s3", "s4"]);
+    instances.on_sent("2");
+    instances.on_end("2", Handover::Failed, now);
+    assert_eq!(instances.assign(&fleet, &shards, now, 0.0), []);
+    let later = now + ms(500);
+    assert_eq!(instances.assign(&fleet, &shards, later, 0.0).len(), 1);
+}
+
+/// Requests that arrive while connections close would be cut, so the load balancer has to have
+/// taken the instance out first.
+#[test]
+fn a_shutdown_serves_through_two_readiness_checks_and_ends_within_the_grace_period() {
+    let now = Instant::now();
+    let shutdown = Shutdown::new(now, ms(6_000));
+    assert!(shutdown.is_in_rotation(now + ms(2_000)));
+    assert!(!shutdown.is_in_rotation(now + ms(3_000)));
+    assert!(!shutdown.is_over(now + ms(5_000)));
+    assert!(shutdown.is_over(now + ms(5_999)));
+}
--- /dev/null
+++ b/lib/tests/serving_support/mod.rs
@@ -0,0 +1,46 @@
+//! Leafs and times for the tests of the serving parts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use camphorhold::coordination::serving::Fleet;
+use camphorhold::coordination::serving::fleet::Entry;
+use camphorhold::coordination::serving::fleet::Standing;
+use camphorhold::coordination::serving::fleet::Terms;
+
+/// Limits that do not bind.
+#[allow(dead_code, reason = "not every test file needs it")]
+pub const TERMS: Terms = Terms {
+    max_connections: 100,
+    cold_rate: None,
+};
+
+/// Returns the entry of a ready leaf with two slots.
+pub fn entry(id: &str, service: &str, domain: &str) -> Entry {
+    Entry {
+        id: id.into(),
+        born: None,
+        service: service.into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        domain: domain.into(),
+        version: "v1".into(),
+        slots: 2,
+        standing: Standing::Ready,
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// Returns the fleet of an instance in domain `a`.
+pub fn fleet(leafs: &[(&str, &str, &str)], now: Instant) -> Fleet {
+    let mut fleet = Fleet::new("a".into());
+    for (id, service, domain) in leafs {
+        fleet.update(entry(id, service, domain), now);
+    }
+    fleet
+}
+
+/// Returns a length of time in milliseconds.
+pub fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod balancer;
 pub mod client;
 pub mod instances;
+pub mod platform;
 pub mod process;
 pub mod server;
 pub mod store;
--- /dev/null
+++ b/testutils/src/platform/leaf.rs
@@ -0,0 +1,228 @@
+//! A leaf of the platform. It answers on the socket itself, because most of its failures are not
+//! valid HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::server;
+
+/// How a leaf treats requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It runs and answers them.
+    #[default]
+    Answer,
+    /// It runs and answers them after this time.
+    Slow(Duration),
+    /// It runs them and never answers.
+    Hang,
+    /// It runs them and closes the connection without an answer.
+    Lose,
+    /// It runs and answers them, and sends a second answer at once.
+    Repeat,
+    /// It runs them and closes the connection in the middle of the answer.
+    Truncate,
+    /// It says that it has not run them.
+    Refuse,
+    /// It says that another leaf has its address.
+    Misdirect,
+}
+
+/// A request that a leaf has begun to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The id of the caller's attempt.
+    pub request: String,
+    /// The time that the sender gives it, in milliseconds.
+    pub deadline_ms: u64,
+    /// The leaf that the sender expects.
+    pub expected: String,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    behaviour: Behaviour,
+    runs: Vec<Run>,
+    open: usize,
+}
+
+/// A running leaf.
+#[derive(Clone, Debug)]
+pub struct Leaf {
+    id: String,
+    service: String,
+    domain: String,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Leaf {
+    /// Starts a leaf at a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start(id: &str, service: &str, domain: &str) -> Result<Self, server::Error> {
+        let (listener, address) = server::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let leaf = Self {
+            id: id.into(),
+            service: service.into(),
+            domain: domain.into(),
+            address,
+            state: Arc::default(),
+        };
+        tokio::spawn(serve(listener, leaf.clone()));
+        Ok(leaf)
+    }
+
+    /// Returns the key of its entry in the store.
+    #[must_use]
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    /// Returns its entry in the store, with a state.
+    #[must_use]
+    pub fn entry(&self, state: &str) -> Value {
+        json!({
+            "service": self.service,
+            "address": self.address.to_string(),
+            "zone": self.domain,
+            "version": "v1",
+            "concurrency": 2,
+            "state": state,
+            "cold_left_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        })
+    }
+
+    /// Returns the record that its answers hold.
+    #[must_use]
+    pub fn record(&self) -> [u8; 16] {
+        let mut record = [b'.'; 16];
+        for (place, byte) in record.iter_mut().zip(self.service.bytes()) {
+            *place = byte;
+        }
+        record
+    }
+
+    /// Changes how it treats requests from now on.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        self.lock().behaviour = behaviour;
+    }
+
+    /// Returns the requests it has begun to run.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// Counts the open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.lock().open
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn answer(&self, request: &str) -> Vec<u8> {
+        let mut answer = format!(
+            "HTTP/1.1 200 OK\r\nX-Camphorhold-Request-Id: {request}\r\n\
+             X-Camphorhold-Server-Stamp: {}-{request}\r\nContent-Length: 16\r\n\r\n",
+            self.id
+        )
+        .into_bytes();
+        answer.extend_from_slice(&self.record());
+        answer
+    }
+}
+
+async fn serve(listener: TcpListener, leaf: Leaf) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(server::ACCEPT_RETRY).await;
+            continue;
+        };
+        let leaf = leaf.clone();
+        tokio::spawn(async move {
+            leaf.lock().open += 1;
+            if let Err(error) = serve_connection(stream, &leaf).await {
+                log::debug!("a connection to a leaf broke: {error}");
+            }
+            leaf.lock().open -= 1;
+        });
+    }
+}
+
+async fn serve_connection(mut stream: TcpStream, leaf: &Leaf) -> std::io::Result<()> {
+    while let Some(run) = read_request(&mut stream).await? {
+        let behaviour = leaf.lock().behaviour;
+        let id = run.request.clone();
+        if !matches!(behaviour, Behaviour::Refuse | Behaviour::Misdirect) {
+            leaf.lock().runs.push(run);
+        }
+        let answer = leaf.answer(&id);
+        match behaviour {
+            Behaviour::Answer => stream.write_all(&answer).await?,
+            Behaviour::Slow(time) => {
+                tokio::time::sleep(time).await;
+                stream.write_all(&answer).await?;
+            }
+            // Returns when the caller closes the connection.
+            Behaviour::Hang => drop(read_request(&mut stream).await?),
+            Behaviour::Lose => return Ok(()),
+            Behaviour::Repeat => stream.write_all(&[&answer[..], &answer].concat()).await?,
+            Behaviour::Truncate => return stream.write_all(&answer[..answer.len() - 4]).await,
+            Behaviour::Refuse => {
+                let refusal = "HTTP/1.1 503 Service Unavailable\r\n\
+                    X-Camphorhold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+                stream.write_all(refusal.as_bytes()).await?;
+            }
+            Behaviour::Misdirect => {
+                let refusal = "HTTP/1.1 421 Misdirected Request\r\n\
+                    X-Camphorhold-Instance-Id: another\r\nContent-Length: 0\r\n\r\n";
+                stream.write_all(refusal.as_bytes()).await?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Reads a request with its body; returns `None` when the connection ends before one.
+async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<Run>> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => head.push(byte),
+            Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => return Ok(None),
+            Err(error) => return Err(error),
+        }
+    }
+    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let value = |name: &str| {
+        let line = head.lines().find_map(|line| line.strip_prefix(name));
+        line.map_or("", |value| value.trim_start_matches(':').trim())
+    };
+    let length: usize = value("content-length").parse().unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await?;
+    Ok(Some(Run {
+        request: value("x-camphorhold-request-id").into(),
+        deadline_ms: value("x-camphorhold-deadline-ms").parse().unwrap_or(0),
+        expected: value("x-camphorhold-expect-instance").into(),
+    }))
+}
--- /dev/null
+++ b/testutils/src/platform/store.rs
@@ -0,0 +1,323 @@
+//! The platform's store: items with revisions, ranges in pages, watches, conditional changes.
+//! Leases are granted but never end by themselves.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::server;
+
+/// Items on one page of a range: small, so that tests meet several pages.
+const PAGE_ITEMS: usize = 5;
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It does not.
+    #[default]
+    None,
+    /// It refuses every call with 503.
+    Refuse,
+    /// It never answers a watch that starts meanwhile, and keeps the connection open.
+    LoseWatches,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: Vec<u8>,
+    revision: u64,
+    created: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    // The changes, oldest first; `None` is a removal.
+    history: Vec<(u64, String, Option<Item>)>,
+    // Changes up to this revision are forgotten.
+    compacted: u64,
+    fault: Fault,
+    calls: u64,
+}
+
+impl State {
+    fn change(&mut self, key: &str, value: Option<Vec<u8>>) {
+        self.revision += 1;
+        let revision = self.revision;
+        let item = value.map(|value| Item {
+            value,
+            revision,
+            created: self.items.get(key).map_or(revision, |item| item.created),
+        });
+        match &item {
+            Some(item) => self.items.insert(key.into(), item.clone()),
+            None => self.items.remove(key),
+        };
+        self.history.push((revision, key.into(), item));
+    }
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct Store {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Store {
+    /// Starts an empty store at a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start() -> Result<Self, server::Error> {
+        let (listener, address) = server::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let shared = Arc::new(Shared {
+            state: Mutex::default(),
+            changed: watch::channel(0).0,
+        });
+        tokio::spawn(serve(listener, Arc::clone(&shared)));
+        Ok(Self { address, shared })
+    }
+
+    /// Returns the address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.change(key, Some(value.to_string().into_bytes()));
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        self.change(key, None);
+    }
+
+    /// Starts or ends a fault.
+    pub fn set_fault(&self, fault: Fault) {
+        self.shared.lock().fault = fault;
+    }
+
+    /// Forgets the history.
+    pub fn compact(&self) {
+        let mut state = self.shared.lock();
+        state.compacted = state.revision;
+        state.history.clear();
+    }
+
+    /// Counts the calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+
+    /// Counts the items below a prefix.
+    #[must_use]
+    pub fn count(&self, prefix: &str) -> usize {
+        let state = self.shared.lock();
+        state
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .count()
+    }
+
+    fn change(&self, key: &str, value: Option<Vec<u8>>) {
+        let mut state = self.shared.lock();
+        state.change(key, value);
+        self.shared.changed.send_replace(state.revision);
+    }
+}
+
+async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(server::ACCEPT_RETRY).await;
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            let service = service_fn(move |request| answer(Arc::clone(&shared), request));
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("a connection to the store broke: {error}");
+            }
+        });
+    }
+}
+
+async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let query = Query::new(request.uri().query().unwrap_or_default());
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    let body = request.into_body().collect().await;
+    let body = body
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
+    let fault = {
+        let mut state = shared.lock();
+        state.calls += 1;
+        state.fault
+    };
+    if fault == Fault::Refuse {
+        return Ok(respond(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+    }
+    let (status, value) = match (method, path.as_str()) {
+        (Method::GET, "/api/kv-range") => (StatusCode::OK, range(&shared.lock(), &query)),
+        (Method::GET, "/api/kv-watch") => {
+            if fault == Fault::LoseWatches {
+                std::future::pending::<()>().await;
+            }
+            watch(&shared, &query).await
+        }
+        (Method::POST, "/api/kv-txn") => change(&shared, &body),
+        (Method::POST, "/api/kv-lease") => (StatusCode::OK, json!({"lease": 1, "ttl_ms": 60_000})),
+        (Method::POST, path) if path.starts_with("/api/kv-keep/") => (StatusCode::OK, json!({})),
+        _ => (StatusCode::NOT_FOUND, json!({})),
+    };
+    Ok(respond(status, &value))
+}
+
+fn respond(status: StatusCode, value: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(value.to_string()));
+    *response.status_mut() = status;
+    response
+}
+
+/// The parameters of a query string. Test keys hold nothing that needs decoding.
+struct Query(BTreeMap<String, String>);
+
+impl Query {
+    fn new(query: &str) -> Self {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        Self(
+            pairs
+                .map(|(key, value)| (key.into(), value.into()))
+                .collect(),
+        )
+    }
+
+    fn text(&self, name: &str) -> &str {
+        self.0.get(name).map_or("", String::as_str)
+    }
+
+    fn number(&self, name: &str) -> u64 {
+        self.text(name).parse().unwrap_or(0)
+    }
+}
+
+fn encode(key: &str, item: &Item) -> Value {
+    json!({
+        "key": key,
+        "value": STANDARD.encode(&item.value),
+        "revision": item.revision,
+        "created": item.created,
+        "lease": 0,
+    })
+}
+
+fn range(state: &State, query: &Query) -> Value {
+    let after = query.text("after");
+    let mut items = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(query.text("prefix")) && key.as_str() > after);
+    let page: Vec<Value> = items
+        .by_ref()
+        .take(PAGE_ITEMS)
+        .map(|(key, item)| encode(key, item))
+        .collect();
+    let has_more = items.next().is_some();
+    json!({"items": page, "has_more": has_more, "store_revision": state.revision})
+}
+
+async fn watch(shared: &Shared, query: &Query) -> (StatusCode, Value) {
+    let after = query.number("after");
+    let mut changed = shared.changed.subscribe();
+    let wait = Duration::from_millis(query.number("wait_ms"));
+    // After the wait, an answer without events is given.
+    let _ = tokio::time::timeout(wait, changed.wait_for(|revision| *revision > after)).await;
+    let state = shared.lock();
+    if after < state.compacted {
+        return (StatusCode::GONE, json!({}));
+    }
+    let events: Vec<Value> = state
+        .history
+        .iter()
+        .filter(|(revision, key, _)| *revision > after && key.starts_with(query.text("prefix")))
+        .map(|(revision, key, item)| match item {
+            Some(item) => encode(key, item),
+            None => json!({"key": key, "revision": revision, "deleted": true}),
+        })
+        .collect();
+    let value = json!({"events": events, "store_revision": state.revision});
+    (StatusCode::OK, value)
+}
+
+fn change(shared: &Shared, body: &[u8]) -> (StatusCode, Value) {
+    let Ok(change) = serde_json::from_slice::<Value>(body) else {
+        return (StatusCode::BAD_REQUEST, json!({}));
+    };
+    let rows = |name: &str| change[name].as_array().cloned().unwrap_or_default();
+    let mut state = shared.lock();
+    let holds = rows("expected").iter().all(|row| {
+        let key = row["key"].as_str().unwrap_or_default();
+        let revision = state.items.get(key).map_or(0, |item| item.revision);
+        row["revision"].as_u64() == Some(revision)
+    });
+    if !holds {
+        return (StatusCode::PRECONDITION_FAILED, json!({"items": []}));
+    }
+    for put in rows("puts") {
+        let key = put["key"].as_str().unwrap_or_default();
+        let value = put["value"].as_str().unwrap_or_default();
+        let Ok(value) = STANDARD.decode(value) else {
+            return (StatusCode::BAD_REQUEST, json!({}));
+        };
+        state.change(key, Some(value));
+    }
+    shared.changed.send_replace(state.revision);
+    (StatusCode::OK, json!({"revision": state.revision}))
+}
