instance: split the request path, tell the troubles of failed requests

The line of a request that did not go as it should names the calls without a useful answer, and the age of what is known of the store. A version under rollout gets no traffic: instances do not judge versions yet. Unused parts of the translation are gone.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -26,6 +26,7 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use thiserror::Error;
 
 use crate::shared::Shared;
 
@@ -66,6 +67,19 @@
     pub sent: Cell<bool>,
 }
 
+impl Passed {
+    /// Returns the request's id.
+    pub fn id(&self) -> &str {
+        request_id(&self.headers)
+    }
+}
+
+/// Returns the id of a request, or nothing if the caller gave none that can be printed.
+pub fn request_id(headers: &HeaderMap) -> &str {
+    let id = headers.get(header::REQUEST_ID);
+    id.and_then(|id| id.to_str().ok()).unwrap_or("")
+}
+
 /// How a call ended.
 #[derive(Debug)]
 pub struct End {
@@ -77,6 +91,31 @@
     pub outcome: Outcome,
     /// The leaf's answer, if a whole one arrived.
     pub answer: Option<Response<Bytes>>,
+    /// Why the answer is not part of the result, if it is not.
+    pub trouble: Option<Trouble>,
+}
+
+/// Why a call has no useful answer.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Trouble {
+    /// The leaf did not run the request.
+    #[error("refused")]
+    Refused,
+    /// Another leaf has the address.
+    #[error("replaced")]
+    Replaced,
+    /// The answer belongs to another request.
+    #[error("answered another request")]
+    Foreign,
+    /// The leaf answered with a failure, or without a signature.
+    #[error("answered {0}")]
+    Status(StatusCode),
+    /// No connection could be used, so nothing was sent.
+    #[error("not connected")]
+    NotConnected,
+    /// The request was sent, and the connection broke.
+    #[error("connection lost")]
+    Lost,
 }
 
 /// Reports a call to the fleet, also if its task is dropped.
@@ -124,26 +163,27 @@
 async fn run(shared: Rc<Shared>, passed: Rc<Passed>, send: Send, mut in_flight: InFlight) -> End {
     let result = exchange(&shared, &passed, send.leaf).await;
     let latency = shared.now().saturating_duration_since(in_flight.started);
-    let (outcome, report, answer) = match result {
-        Ok(answer) => {
-            let (outcome, report) = judge(&passed, &answer, latency);
-            (
-                outcome,
-                report,
-                Some(answer).filter(|answer| answers(&passed, answer)),
-            )
-        }
+    let (trouble, answer) = match result {
+        Ok(answer) => (judge(&passed, &answer), Some(answer)),
         Err(error) => {
-            let outcome = match error {
+            log::debug!(leaf:? = send.leaf, error:% = error; "leaf call failed");
+            let trouble = match error {
                 http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_) => {
-                    Outcome::Unsent
+                    Trouble::NotConnected
                 }
-                http::Error::Lost(_) | http::Error::TooLong => Outcome::Failed,
+                http::Error::Lost(_) | http::Error::TooLong => Trouble::Lost,
             };
-            log::debug!(leaf:? = send.leaf, error:% = error; "leaf call failed");
-            (outcome, Report::Disconnected, None)
+            (Some(trouble), None)
         }
     };
+    let (outcome, report) = match trouble {
+        None => (Outcome::Part, Report::Answered(latency)),
+        Some(Trouble::Refused) => (Outcome::NotRun, Report::Refused),
+        Some(Trouble::Replaced) => (Outcome::NotRun, Report::Replaced),
+        Some(Trouble::Foreign | Trouble::Status(_)) => (Outcome::Failed, Report::Failed),
+        Some(Trouble::NotConnected) => (Outcome::Unsent, Report::Disconnected),
+        Some(Trouble::Lost) => (Outcome::Failed, Report::Disconnected),
+    };
     if outcome == Outcome::Part {
         shared.note_latency(&passed.route, latency);
         metrics::histogram!("camphorhold_leaf_call_seconds").record(latency.as_secs_f64());
@@ -154,7 +194,8 @@
         shard: send.shard,
         leaf: send.leaf,
         outcome,
-        answer,
+        answer: answer.filter(|_| trouble != Some(Trouble::Foreign)),
+        trouble,
     }
 }
 
@@ -248,23 +289,21 @@
     received.is_none() || received == sent
 }
 
-fn judge(passed: &Passed, answer: &Response<Bytes>, latency: Duration) -> (Outcome, Report) {
+/// Returns why an answer is no part of the result, if it is not.
+fn judge(passed: &Passed, answer: &Response<Bytes>) -> Option<Trouble> {
     if !answers(passed, answer) {
-        return (Outcome::Failed, Report::Failed);
+        return Some(Trouble::Foreign);
     }
     let headers = answer.headers();
     let status = answer.status();
     if status == StatusCode::MISDIRECTED_REQUEST {
-        return (Outcome::NotRun, Report::Replaced);
+        return Some(Trouble::Replaced);
     }
     if headers.contains_key(header::NOT_RUN) {
-        return (Outcome::NotRun, Report::Refused);
+        return Some(Trouble::Refused);
     }
+    // Callers ask for no encoding, so an encoded body is not the leaf's.
     let genuine =
         headers.contains_key(header::SIGNATURE) && !headers.contains_key(CONTENT_ENCODING);
-    if status.is_success() && genuine {
-        (Outcome::Part, Report::Answered(latency))
-    } else {
-        (Outcome::Failed, Report::Failed)
-    }
+    (!status.is_success() || !genuine).then_some(Trouble::Status(status))
 }
--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -10,6 +10,7 @@
 use camphorhold_platform::key::Key;
 use camphorhold_platform::leaf;
 use camphorhold_platform::plan;
+use camphorhold_platform::rollout::Order;
 use camphorhold_platform::store::Event;
 use camphorhold_platform::store::Item;
 use camphorhold_platform::store::Listing;
@@ -98,6 +99,7 @@
     }
 
     fn on_success(&mut self) {
+        self.shared.store_heard.set(self.shared.now());
         metrics::counter!("camphorhold_store_calls_total", "outcome" => "ok").increment(1);
         let Some(since) = self.failing_since.take() else {
             return;
@@ -199,7 +201,8 @@
             Key::Leaf(id) => self.on_leaf(id, value, item.revision),
             Key::Evacuation(domain) => self.on_evacuation(domain, true),
             Key::Instance(name) => self.on_instance(name, value),
-            Key::RolloutOrder(_) | Key::RolloutState(_) | Key::Other => {}
+            Key::RolloutOrder(service) => self.on_rollout(service, value),
+            Key::RolloutState(_) | Key::Other => {}
         }
     }
 
@@ -213,7 +216,11 @@
             }
             Key::Evacuation(domain) => self.on_evacuation(domain, false),
             Key::Instance(name) => self.shared.instances.borrow_mut().remove(name, now),
-            Key::Configuration | Key::RolloutOrder(_) | Key::RolloutState(_) | Key::Other => {}
+            Key::RolloutOrder(service) => {
+                log::info!(service = service; "rollout order withdrawn");
+                self.shared.fleet.borrow_mut().hold_back(service, None);
+            }
+            Key::Configuration | Key::RolloutState(_) | Key::Other => {}
         }
     }
 
@@ -282,6 +289,25 @@
         self.shared.instances.borrow_mut().add(name, location);
     }
 
+    /// Keeps traffic away from a version that is to be rolled out. Instances do not judge versions
+    /// yet, and a version that nobody judges must not get a share.
+    fn on_rollout(&self, service: &str, value: Option<&[u8]>) {
+        match serde_json::from_slice::<Order>(value.unwrap_or_default()) {
+            Ok(order) => {
+                log::warn!(
+                    service = service,
+                    version = &*order.version;
+                    "rollout not supported, the version gets no traffic"
+                );
+                let mut fleet = self.shared.fleet.borrow_mut();
+                fleet.hold_back(service, Some(order.version));
+            }
+            Err(error) => {
+                log::warn!(service = service, error:% = error; "rollout order not readable");
+            }
+        }
+    }
+
     fn on_evacuation(&self, domain: &str, evacuated: bool) {
         log::info!(domain = domain, evacuated = evacuated; "evacuation");
         let mut fleet = self.shared.fleet.borrow_mut();
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -117,6 +117,8 @@
 /// How a handover ended.
 #[derive(Debug)]
 pub struct End {
+    /// The instance that took it.
+    pub instance: Box<str>,
     /// The shards that were handed over.
     pub shards: Vec<usize>,
     /// The shards that are answered.
@@ -185,7 +187,7 @@
             _ => (Handover::Answered, Outcome::Failed, None),
         },
         Ok(Err(error)) => {
-            log::info!(instance = &*in_flight.name, error:% = error; "handover failed");
+            log::info!(request = passed.id(), instance = &*in_flight.name, error:% = error; "handover failed");
             let rest = match error {
                 http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_) => {
                     Outcome::Unsent
@@ -195,7 +197,7 @@
             (Handover::Failed, rest, None)
         }
         Err(_) => {
-            log::info!(instance = &*in_flight.name; "handover not answered in time");
+            log::info!(request = passed.id(), instance = &*in_flight.name; "handover not answered in time");
             shared.peers.close(address);
             (Handover::Failed, Outcome::Failed, None)
         }
@@ -204,6 +206,7 @@
     metrics::counter!("camphorhold_handovers_total", "outcome" => name(handover)).increment(1);
     let answered = answer.as_ref().and_then(answered_shards);
     End {
+        instance: in_flight.name.clone(),
         shards: ticket.shards,
         answer: answer.filter(|_| answered.is_some()),
         answered: answered.unwrap_or_default(),
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -1,8 +1,10 @@
 //! `camphorhold-instance`: one instance of the query tier on the users' platform.
 
+mod answer;
 mod call;
 mod exposition;
 mod follower;
+mod gather;
 mod handover;
 mod logging;
 mod merge;
--- a/instance/src/registration.rs
+++ b/instance/src/registration.rs
@@ -74,7 +74,6 @@
             key,
             value: &value,
             lease: Some(lease.id),
-            expected: None,
         })
         .await?;
     Ok(lease)
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -76,6 +76,8 @@
     pub pool: Pool<LeafKey>,
     /// Connections to other instances without a query.
     pub peers: Pool<SocketAddr>,
+    /// When the store last answered.
+    pub store_heard: Cell<Instant>,
     /// Whether requests are taken.
     pub phase: Cell<Phase>,
     /// Requests in progress.
@@ -108,6 +110,7 @@
             instances: RefCell::new(instances),
             pool: Pool::default(),
             peers: Pool::default(),
+            store_heard: Cell::new(now),
             phase: Cell::new(Phase::Starting),
             in_progress: Cell::new(0),
             profiles: RefCell::default(),
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -212,6 +212,8 @@
     by_id: HashMap<Box<str>, LeafKey>,
     by_service: HashMap<Box<str>, Vec<LeafKey>>,
     evacuated: HashSet<Box<str>>,
+    // Versions that get no traffic, by service.
+    held_back: HashMap<Box<str>, Box<str>>,
 }
 
 impl Fleet {
@@ -225,6 +227,7 @@
             by_id: HashMap::new(),
             by_service: HashMap::new(),
             evacuated: HashSet::new(),
+            held_back: HashMap::new(),
         }
     }
 
@@ -338,6 +341,15 @@
         }
     }
 
+    /// Holds a version of a service back, or none. Its leafs get no traffic while the service has
+    /// leafs of another version.
+    pub fn hold_back(&mut self, service: &str, version: Option<Box<str>>) {
+        match version {
+            Some(version) => self.held_back.insert(service.into(), version),
+            None => self.held_back.remove(service),
+        };
+    }
+
     /// Returns the failure domains out of service.
     #[must_use]
     pub fn evacuated(&self) -> &HashSet<Box<str>> {
@@ -409,6 +421,22 @@
         leaf.entry.standing == Standing::Ready
             && !leaf.replaced
             && !self.evacuated.contains(&leaf.entry.domain)
+            && !self.is_held_back(leaf)
+    }
+
+    fn is_held_back(&self, leaf: &Leaf) -> bool {
+        let Some(version) = self.held_back.get(&leaf.entry.service) else {
+            return false;
+        };
+        let has_another = || {
+            self.by_service
+                .get(&leaf.entry.service)
+                .into_iter()
+                .flatten()
+                .filter_map(|key| self.leafs.get(*key))
+                .any(|member| member.entry.version != *version)
+        };
+        leaf.entry.version == *version && has_another()
     }
 
     fn is_open(&self, leaf: &Leaf, terms: Terms, now: Instant) -> bool {
--- a/lib/tests/serving_fleet.rs
+++ b/lib/tests/serving_fleet.rs
@@ -62,6 +62,23 @@
     assert_eq!(chosen(&fleet, now).as_deref(), Some("near"));
 }
 
+/// A version that nobody has judged may be bad.
+#[test]
+fn a_version_that_is_held_back_gets_nothing_beside_another() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[("far", "s", "b")], now);
+    let mut new = entry("near", "s", "a");
+    new.version = "v2".into();
+    fleet.update(new, now);
+    fleet.hold_back("s", Some("v2".into()));
+    assert_eq!(chosen(&fleet, now).as_deref(), Some("far"));
+    fleet.remove("far", None);
+    assert_eq!(chosen(&fleet, now).as_deref(), Some("near"));
+    fleet.update(entry("far", "s", "b"), now);
+    fleet.hold_back("s", None);
+    assert_eq!(chosen(&fleet, now).as_deref(), Some("near"));
+}
+
 #[test]
 fn a_leaf_whose_address_is_taken_over_gets_nothing() {
     let now = Instant::now();
