--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -319,6 +319,7 @@
         let known = self.shared.plan.borrow().is_some() && !self.shared.fleet.borrow().is_empty();
         if known && self.shared.phase.get() == Phase::Starting {
             self.shared.phase.set(Phase::Serving);
+            self.shared.served.notify_waiters();
             log::info!(config_version = self.shared.plan_version(); "ready");
         }
     }
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -123,7 +123,7 @@
     origin: Origin,
 ) -> Response<Full<Bytes>> {
     let _progress = Progress::new(&shared);
-    let plan = shared.plan.borrow().clone();
+    let plan = shared.wait_for_plan().await;
     let Some(plan) = plan else {
         log::info!(request = request_id(request.headers()); "refused, no configuration yet");
         return refuse(Duration::from_millis(100));
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -22,12 +22,17 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::Notify;
 
 use crate::pool::Pool;
 
 /// The number of instances assumed until the store tells.
 const INITIAL_INSTANCES: usize = 8;
 
+/// How long a request waits for the first configuration. Reading the store takes some 20 ms after a
+/// start; a caller that is refused comes back later than that.
+const FIRST_PLAN_WAIT: Duration = Duration::from_millis(40);
+
 /// Connections per leaf of a service that the configuration does not describe.
 const DEFAULT_CONNECTIONS: usize = 16;
 
@@ -66,6 +71,8 @@
     pub clock: Box<dyn Clock>,
     /// The configuration in force.
     pub plan: RefCell<Option<Arc<Plan>>>,
+    /// Wakes requests that wait for the first configuration.
+    pub served: Notify,
     /// The leafs.
     pub fleet: RefCell<Fleet>,
     /// The retry budgets.
@@ -105,6 +112,7 @@
             settings,
             clock,
             plan: RefCell::new(None),
+            served: Notify::new(),
             fleet: RefCell::new(fleet),
             allowances: RefCell::new(allowances),
             instances: RefCell::new(instances),
@@ -129,6 +137,16 @@
         self.random.borrow_mut().random()
     }
 
+    /// Returns the configuration in force. A process that has just started waits for its first one.
+    pub async fn wait_for_plan(&self) -> Option<Arc<Plan>> {
+        if self.phase.get() == Phase::Starting {
+            let served = self.served.notified();
+            // Whether it came in time shows below.
+            let _ = tokio::time::timeout(FIRST_PLAN_WAIT, served).await;
+        }
+        self.plan.borrow().clone()
+    }
+
     /// Returns the version of the configuration in force, or 0.
     pub fn plan_version(&self) -> u64 {
         self.plan.borrow().as_ref().map_or(0, |plan| plan.version())
