logging: write the last lines before the process ends

Cause: the line 'stopped' never arrived: the flush woke the writing thread but did not wait for it. It now waits until the queue is written, at most 300 ms.

--- a/instance/src/logging.rs
+++ b/instance/src/logging.rs
@@ -5,8 +5,6 @@
 //! counted in a line of its own.
 
 use std::io::Write;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
@@ -30,8 +28,19 @@
 /// Pause between two writes. A write costs a system call and a wake-up, whatever its length.
 const BATCH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The longest time that the end of a process waits for its last lines.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
+/// What the writing thread gets.
+enum Message {
+    /// A line to write.
+    Line(Vec<u8>),
+    /// A request to write what is queued before it, and to say so.
+    Flush(SyncSender<()>),
+}
+
 struct Queue {
-    lines: SyncSender<Vec<u8>>,
+    messages: SyncSender<Message>,
     in_batch: AtomicU64,
     dropped: AtomicU64,
 }
@@ -46,7 +55,7 @@
         let mut line = Vec::with_capacity(256);
         flexi_logger::json_format(&mut line, now, record)?;
         line.push(b'\n');
-        if self.lines.try_send(line).is_err() {
+        if self.messages.try_send(Message::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
@@ -58,13 +67,18 @@
 }
 
 /// Writes lines until the process ends.
-fn write_lines(queue: &'static Queue, lines: &Receiver<Vec<u8>>, flushed: &Mutex<()>) {
-    while let Ok(first) = lines.recv() {
-        std::thread::park_timeout(BATCH_INTERVAL);
-        let _writing = flushed.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut batch = first;
-        while let Ok(line) = lines.try_recv() {
-            batch.extend_from_slice(&line);
+fn write_lines(queue: &'static Queue, messages: &Receiver<Message>) {
+    while let Ok(first) = messages.recv() {
+        if matches!(first, Message::Line(_)) {
+            std::thread::park_timeout(BATCH_INTERVAL);
+        }
+        let mut batch = Vec::new();
+        let mut flushed = None;
+        for message in std::iter::once(first).chain(messages.try_iter()) {
+            match message {
+                Message::Line(line) => batch.extend_from_slice(&line),
+                Message::Flush(done) => flushed = Some(done),
+            }
         }
         queue.in_batch.store(0, Ordering::Relaxed);
         let dropped = queue.dropped.swap(0, Ordering::Relaxed);
@@ -78,6 +92,10 @@
         let mut output = std::io::stdout().lock();
         // Without a reader there is nobody to tell.
         let _ = output.write_all(&batch).and_then(|()| output.flush());
+        if let Some(done) = flushed {
+            // Nobody waits any more if this fails.
+            let _ = done.try_send(());
+        }
     }
 }
 
@@ -94,16 +112,20 @@
 }
 
 /// Writes out the last lines before the process ends.
-#[derive(Clone, Copy)]
 pub struct Flush {
-    thread: &'static std::thread::Thread,
+    queue: &'static Queue,
+    thread: std::thread::Thread,
 }
 
 impl Flush {
-    /// Writes what is queued, and waits at most two batch intervals for it.
+    /// Writes what is queued. Without a reader, waits for [`FLUSH_LIMIT`].
     pub fn flush(self) {
-        self.thread.unpark();
-        std::thread::park_timeout(BATCH_INTERVAL / 4);
+        let (done, is_done) = sync_channel(1);
+        if self.queue.messages.try_send(Message::Flush(done)).is_ok() {
+            self.thread.unpark();
+            // After the limit the lines are lost, and there is no place left to say so.
+            let _ = is_done.recv_timeout(FLUSH_LIMIT);
+        }
     }
 }
 
@@ -115,7 +137,7 @@
 pub fn start(specification: &str) -> Result<(LoggerHandle, Flush), FlexiLoggerError> {
     let (sender, receiver) = sync_channel(QUEUE_LINES);
     let queue: &'static Queue = Box::leak(Box::new(Queue {
-        lines: sender,
+        messages: sender,
         in_batch: AtomicU64::new(0),
         dropped: AtomicU64::new(0),
     }));
@@ -124,7 +146,7 @@
         .start()?;
     let writer = std::thread::Builder::new()
         .name("log".into())
-        .spawn(move || write_lines(queue, &receiver, &Mutex::new(())))?;
-    let thread = Box::leak(Box::new(writer.thread().clone()));
-    Ok((handle, Flush { thread }))
+        .spawn(move || write_lines(queue, &receiver))?;
+    let thread = writer.thread().clone();
+    Ok((handle, Flush { queue, thread }))
 }
