instances: one owner per shard and failure domain where connections are scarce

Cause: with 87 instances and 66 connections per leaf, each instance may hold one connection, sees half a query a second, learns nothing of slow leafs, and works on 90 calls with an eighth of a core (a query's calls took over 55 ms of its objective of 60). Ruled out: the retry budget (allowances were left).

--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -259,12 +259,18 @@
     let Target::Shards(scope) = &route.target else {
         return Vec::new();
     };
-    let groups = shared.instances.borrow().assign(
-        &shared.fleet.borrow(),
-        &scope.shards,
-        shared.now(),
-        shared.jitter(),
-    );
+    let now = shared.now();
+    let instances = shared.instances.borrow();
+    let fleet = shared.fleet.borrow();
+    let scarce = request
+        .shards
+        .first()
+        .is_some_and(|shard| fleet.is_scarce(shard.terms));
+    let groups = if scarce {
+        instances.assign_to_owners(&scope.shards, now)
+    } else {
+        instances.assign(&fleet, &scope.shards, now, shared.jitter())
+    };
     for shard in groups.iter().flat_map(|group| &group.shards) {
         request.shards[*shard].handed_over = true;
     }
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -105,7 +105,7 @@
     pub fn new(settings: Settings, clock: Box<dyn Clock>) -> Self {
         let now = clock.now();
         let mut fleet = Fleet::new(settings.domain.clone());
-        fleet.set_instances(INITIAL_INSTANCES);
+        fleet.set_instances(INITIAL_INSTANCES, INITIAL_INSTANCES);
         let instances = Instances::new(settings.name.clone(), settings.domain.clone());
         let allowances = Allowances::new(settings.retries, INITIAL_INSTANCES, now);
         Self {
@@ -158,7 +158,8 @@
         if instances == 0 {
             return;
         }
-        self.fleet.borrow_mut().set_instances(instances);
+        let domains = self.instances.borrow().domains();
+        self.fleet.borrow_mut().set_instances(instances, domains);
         self.allowances.borrow_mut().set_instances(instances);
     }
 
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -50,6 +50,14 @@
 /// opening or closing.
 const CONNECTION_SHARE: f64 = 0.85;
 
+/// The fewest connections to a leaf with which an instance can call it at will: one for a call, one
+/// for the next that overlaps. With fewer, the instances of a failure domain share owners of leafs.
+const MIN_CONNECTIONS: f64 = 2.0;
+
+/// Instances that call a leaf through owners, per failure domain: the owner, and those that ask
+/// the leaf themselves because the owner does not answer.
+const CALLERS_PER_DOMAIN: usize = 2;
+
 /// Whether a leaf takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -208,6 +216,7 @@
 pub struct Fleet {
     domain: Box<str>,
     instances: usize,
+    domains: usize,
     leafs: SlotMap<LeafKey, Leaf>,
     by_id: HashMap<Box<str>, LeafKey>,
     by_service: HashMap<Box<str>, Vec<LeafKey>>,
@@ -223,6 +232,7 @@
         Self {
             domain,
             instances: 1,
+            domains: 1,
             leafs: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_service: HashMap::new(),
@@ -231,9 +241,17 @@
         }
     }
 
-    /// Sets among how many instances the limits of a leaf are divided.
-    pub fn set_instances(&mut self, instances: usize) {
+    /// Sets among how many instances the limits of a leaf are divided, and in how many failure
+    /// domains they are.
+    pub fn set_instances(&mut self, instances: usize, domains: usize) {
         self.instances = instances.max(1);
+        self.domains = domains.max(1);
+    }
+
+    /// Tells whether a leaf accepts too few connections for every instance to call it at will.
+    #[must_use]
+    pub fn is_scarce(&self, terms: Terms) -> bool {
+        connection_share(terms, self.instances) < MIN_CONNECTIONS
     }
 
     /// Adds a leaf, or takes over what its entry now says. A new incarnation under a known id
@@ -449,14 +467,17 @@
     /// Returns how many connections this instance may hold to one leaf.
     #[must_use]
     pub fn connection_limit(&self, terms: Terms) -> usize {
+        let callers = if self.is_scarce(terms) {
+            self.instances.min(self.domains * CALLERS_PER_DOMAIN)
+        } else {
+            self.instances
+        };
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            clippy::cast_precision_loss,
             reason = "limits are small positive numbers"
         )]
-        let part =
-            (terms.max_connections as f64 * CONNECTION_SHARE / self.instances as f64) as usize;
+        let part = connection_share(terms, callers) as usize;
         part.max(1)
     }
 
@@ -552,3 +573,8 @@
         Some(leaf)
     }
 }
+
+#[expect(clippy::cast_precision_loss, reason = "both numbers are small")]
+fn connection_share(terms: Terms, callers: usize) -> f64 {
+    terms.max_connections as f64 * CONNECTION_SHARE / callers as f64
+}
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -5,12 +5,18 @@
 //! are handed over together to an instance that has leafs of them in its domain: one exchange
 //! crosses instead of one per shard. Bytes between domains are billed, and a handover costs one
 //! round trip.
+//!
+//! With many instances, each sees little of a leaf and may hold few connections to it. Each failure
+//! domain then has one owner per shard, chosen by rendezvous hashing: it knows the leafs well, and
+//! a query over many shards is worked on by many instances at once.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::fleet::Fleet;
 
 /// An instance whose registration is gone counts for this long. It may still run, cut off from the
@@ -59,6 +65,7 @@
 #[derive(Clone, Debug)]
 struct Instance {
     location: Option<Location>,
+    hash: u64,
     // When the registration vanished, if it did.
     gone: Option<Instant>,
     in_flight: usize,
@@ -66,6 +73,22 @@
     paused_until: Option<Instant>,
 }
 
+impl Instance {
+    fn is_open(&self, now: Instant) -> bool {
+        self.gone.is_none() && self.paused_until.is_none_or(|until| now >= until)
+    }
+}
+
+/// Mixes the hashes of an instance and a shard. The instance with the highest rank owns the shard,
+/// so a lost instance only moves its own shards.
+fn rank(instance: u64, shard: u64) -> u64 {
+    // The finalizer of SplitMix64.
+    let mut mixed = instance ^ shard.rotate_left(32);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
 /// The registered instances.
 #[derive(Clone, Debug)]
 pub struct Instances {
@@ -89,6 +112,7 @@
     pub fn add(&mut self, name: &str, location: Option<Location>) {
         let instance = Instance {
             location,
+            hash: xxh3_64(name.as_bytes()),
             gone: None,
             in_flight: 0,
             failures: 0,
@@ -162,6 +186,54 @@
         groups
     }
 
+    /// Counts the failure domains that have instances.
+    #[must_use]
+    pub fn domains(&self) -> usize {
+        let mut domains: Vec<&str> = self
+            .names
+            .values()
+            .filter_map(|instance| Some(&*instance.location.as_ref()?.domain))
+            .collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains.len()
+    }
+
+    /// Divides the shards among their owners in the own failure domain. Shards that this instance
+    /// owns stay with it, as do all while it knows of no other.
+    #[must_use]
+    pub fn assign_to_owners(&self, shards: &[Box<str>], now: Instant) -> Vec<Group> {
+        let members: Vec<(&Box<str>, &Instance, &Location)> = self
+            .names
+            .iter()
+            .filter_map(|(name, instance)| Some((name, instance, instance.location.as_ref()?)))
+            .filter(|(name, instance, location)| {
+                location.domain == self.own_domain
+                    && (**name == self.own_name || instance.is_open(now))
+            })
+            .collect();
+        let mut groups: HashMap<&str, Group> = HashMap::new();
+        for (position, shard) in shards.iter().enumerate() {
+            let hash = xxh3_64(shard.as_bytes());
+            let owner = members
+                .iter()
+                .max_by_key(|(_, instance, _)| rank(instance.hash, hash));
+            let Some((name, _, location)) = owner else {
+                return Vec::new();
+            };
+            if **name == self.own_name {
+                continue;
+            }
+            let group = groups.entry(name).or_insert_with(|| Group {
+                name: (*name).clone(),
+                address: location.address,
+                shards: Vec::new(),
+            });
+            group.shards.push(position);
+        }
+        groups.into_values().collect()
+    }
+
     /// Iterates over the instances of other failure domains that take handovers now.
     fn takers(&self, now: Instant) -> impl Iterator<Item = (&Box<str>, &Instance, &Location)> {
         self.names
@@ -170,8 +242,7 @@
             .filter(move |(name, instance, location)| {
                 **name != self.own_name
                     && location.domain != self.own_domain
-                    && instance.gone.is_none()
-                    && instance.paused_until.is_none_or(|until| now >= until)
+                    && instance.is_open(now)
             })
     }
 
--- a/lib/tests/serving_fleet.rs
+++ b/lib/tests/serving_fleet.rs
@@ -183,7 +183,7 @@
 fn the_connections_of_a_leaf_are_divided_among_the_instances() {
     let now = Instant::now();
     let mut fleet = fleet(&[("near", "s", "a")], now);
-    fleet.set_instances(7);
+    fleet.set_instances(7, 3);
     let terms = Terms {
         max_connections: 26,
         cold_rate: None,
@@ -197,12 +197,27 @@
     assert_eq!(chosen_with(&fleet, terms, now), None);
 }
 
+/// With 87 instances and 66 connections, a share below one would leave most calls without one.
+#[test]
+fn connections_that_do_not_suffice_for_all_go_to_the_owners() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[("near", "s", "a")], now);
+    fleet.set_instances(87, 3);
+    let terms = Terms {
+        max_connections: 66,
+        cold_rate: None,
+    };
+    assert!(fleet.is_scarce(terms));
+    let limit = fleet.connection_limit(terms);
+    assert!(limit >= 2 && limit * 3 * 2 <= 66, "{limit}");
+}
+
 /// A cold leaf crashes above a rate that counts the calls of all instances.
 #[test]
 fn the_rate_of_a_cold_leaf_is_divided_among_the_instances() {
     let now = Instant::now();
     let mut fleet = fleet(&[], now);
-    fleet.set_instances(3);
+    fleet.set_instances(3, 3);
     let mut cold = entry("near", "s", "a");
     cold.cold_left = ms(3_000);
     let near = fleet.update(cold, now);
--- a/lib/tests/serving_parts.rs
+++ b/lib/tests/serving_parts.rs
@@ -168,6 +168,49 @@
     assert_eq!(instances.assign(&fleet, &shards, later, 0.0).len(), 1);
 }
 
+/// Instances that disagree on owners would each call a leaf, with the connections of one.
+#[test]
+fn owners_are_the_same_at_every_instance_and_a_lost_one_moves_only_its_shards() {
+    let now = Instant::now();
+    let names = ["1", "2", "3", "4"];
+    let view = |own: &str| {
+        let mut instances = Instances::new(own.into(), "a".into());
+        for name in names {
+            instances.add(name, Some(location("a")));
+        }
+        instances.add("far", Some(location("b")));
+        instances
+    };
+    let shards: Vec<Box<str>> = (0..60).map(|shard| format!("s{shard}").into()).collect();
+    let owners = |instances: &Instances, own: &str| {
+        let mut owners = vec![own.to_owned(); shards.len()];
+        for group in instances.assign_to_owners(&shards, now) {
+            for shard in group.shards {
+                owners[shard] = group.name.to_string();
+            }
+        }
+        owners
+    };
+    let mut first = view("1");
+    let before = owners(&first, "1");
+    assert_eq!(before, owners(&view("2"), "2"));
+    assert!(
+        names
+            .iter()
+            .all(|name| before.contains(&(*name).to_owned()))
+    );
+    first.on_sent("3");
+    first.on_end("3", Handover::Failed, now);
+    let after = owners(&first, "1");
+    assert!(!after.contains(&"3".to_owned()));
+    let moved = before
+        .iter()
+        .zip(&after)
+        .filter(|(before, after)| before != after);
+    assert!(moved.clone().count() > 0);
+    assert!(moved.map(|(before, _)| before).all(|before| before == "3"));
+}
+
 /// Requests that arrive while connections close would be cut, so the load balancer has to have
 /// taken the instance out first.
 #[test]
