--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -37,6 +37,9 @@
     /// The port on which metrics are served, at the address for callers.
     #[arg(long, default_value_t = 7390)]
     metrics_port: u16,
+    /// Checks the settings, prints what is used of them and ends.
+    #[arg(long)]
+    check: bool,
     /// What is logged, as a `flexi_logger` specification.
     #[arg(long, default_value = "info")]
     log: String,
@@ -54,6 +57,10 @@
 
 fn run(arguments: &Arguments) -> miette::Result<()> {
     let settings = Settings::read(&arguments.settings).into_diagnostic()?;
+    if arguments.check {
+        println!("{settings:#?}");
+        return Ok(());
+    }
     let (_logger, flush) = logging::start(&arguments.log).into_diagnostic()?;
     let metrics_address = SocketAddr::new(settings.callers.ip(), arguments.metrics_port);
     let handle = exposition::install().into_diagnostic()?;
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use camphorhold::transport::http::Connection;
 use camphorhold::transport::http::Error;
 use camphorhold::transport::http::Liveness;
+use camphorhold_testutils::platform::configuration;
 use camphorhold_testutils::platform::leaf::Leaf;
 use camphorhold_testutils::platform::store::Store;
 use http_body_util::Full;
@@ -23,7 +24,6 @@
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
-use serde_json::Value;
 use serde_json::json;
 
 /// The overall limit of each wait. It only ends a test that has failed.
@@ -95,38 +95,6 @@
     }
 }
 
-fn configuration(version: u64, services: &[&str]) -> Value {
-    let route = |name: &str, kind: &str, target: &Value| {
-        let mut route = json!({
-            "name": name, "host": "q.example", "prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 4_000, "objective_ms": 1_000, "priority": 1, "max_attempts": 2,
-        });
-        for (key, value) in target.as_object().unwrap() {
-            route[key] = value.clone();
-        }
-        route
-    };
-    let all = json!({"fan_out": services, "top_k": 2, "min_coverage": 0.5});
-    let one = json!({"service": services[0]});
-    let service = |name: &&str| {
-        json!({
-            "name": name, "health_path": "/health", "max_conns": 50, "protocol": "h1",
-            "tls": false, "cold_start_s": 3.0, "cold_per_s": 0.0,
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("all", "safe", &all), route("one", "safe", &one), route("once", "unsafe", &one),
-        ],
-        "services": services.iter().map(service).collect::<Vec<_>>(),
-        "limits": {
-            "max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
-            "idle_timeout_ms": 15_000,
-        },
-    })
-}
-
 /// An instance as a process.
 pub struct Instance {
     child: Child,
--- a/testutils/src/platform/mod.rs
+++ b/testutils/src/platform/mod.rs
@@ -2,3 +2,44 @@
 
 pub mod leaf;
 pub mod store;
+
+use serde_json::Value;
+use serde_json::json;
+
+/// Returns a configuration for the host `q.example` with the routes `/all/`, to one leaf of each
+/// service, and `/one/` and `/once/`, to the first service. Requests of `/once/` run at most once.
+#[must_use]
+pub fn configuration(version: u64, services: &[&str]) -> Value {
+    let first = services.first();
+    let all = json!({"fan_out": services, "top_k": 2, "min_coverage": 0.5});
+    let service = |name: &&str| {
+        json!({
+            "name": name, "health_path": "/health", "max_conns": 50, "protocol": "h1",
+            "tls": false, "cold_start_s": 3.0, "cold_per_s": 0.0,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("all", "safe", &all),
+            route("one", "safe", &json!({"service": first})),
+            route("once", "unsafe", &json!({"service": first})),
+        ],
+        "services": services.iter().map(service).collect::<Vec<_>>(),
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+    })
+}
+
+fn route(name: &str, kind: &str, target: &Value) -> Value {
+    let mut route = json!({
+        "name": name, "host": "q.example", "prefix": format!("/{name}/"), "kind": kind,
+        "timeout_ms": 4_000, "objective_ms": 1_000, "priority": 1, "max_attempts": 2,
+    });
+    for (key, value) in target.as_object().into_iter().flatten() {
+        route[key] = value.clone();
+    }
+    route
+}
