--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use camphorhold::transport::http::Connection;
 use camphorhold::transport::http::Error;
 use camphorhold::transport::http::Liveness;
+use camphorhold_testutils::platform::CONFIGURATION_KEY;
 use camphorhold_testutils::platform::configuration;
 use camphorhold_testutils::platform::leaf::Leaf;
 use camphorhold_testutils::platform::store::Store;
@@ -86,7 +87,7 @@
     /// Writes a version of the configuration over these services.
     pub fn configure(&self, version: u64, services: &[&str]) {
         let configuration = configuration(version, services);
-        self.store.put("op/config", &configuration);
+        self.store.put(CONFIGURATION_KEY, &configuration);
     }
 
     /// Counts the requests that all leafs have begun to run.
--- a/lib/tests/serving_fleet.rs
+++ b/lib/tests/serving_fleet.rs
@@ -234,3 +234,20 @@
     assert!(chosen_with(&fleet, terms, now + ms(1_001)).is_some());
     assert!(chosen_with(&fleet, terms, now + ms(3_000)).is_some());
 }
+
+/// If each of 87 instances sent a single call in the same second, a leaf that bears 40 would crash.
+#[test]
+fn a_cold_leaf_that_bears_less_than_a_call_of_each_instance_gets_none() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[], now);
+    fleet.set_instances(87, 3);
+    let mut cold = entry("near", "s", "a");
+    cold.cold_left = ms(3_000);
+    fleet.update(cold, now);
+    let terms = Terms {
+        max_connections: 100,
+        cold_rate: Some(40.0),
+    };
+    assert_eq!(chosen_with(&fleet, terms, now), None);
+    assert!(chosen_with(&fleet, terms, now + ms(3_000)).is_some());
+}
--- a/testutils/src/bin/standin-platform.rs
+++ b/testutils/src/bin/standin-platform.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use camphorhold_testutils::platform::CONFIGURATION_KEY;
 use camphorhold_testutils::platform::configuration;
 use camphorhold_testutils::platform::leaf::Leaf;
 use camphorhold_testutils::platform::store::Store;
@@ -39,7 +40,7 @@
         let running = tokio::spawn(async move {
             for version in 1.. {
                 let services: Vec<&str> = names.iter().map(String::as_str).collect();
-                store.put("op/config", &configuration(version, &services));
+                store.put(CONFIGURATION_KEY, &configuration(version, &services));
                 if change.recv().await.is_none() {
                     return;
                 }
--- a/testutils/src/platform/mod.rs
+++ b/testutils/src/platform/mod.rs
@@ -6,6 +6,9 @@
 use serde_json::Value;
 use serde_json::json;
 
+/// The key of the configuration in the store.
+pub const CONFIGURATION_KEY: &str = "op/config";
+
 /// Returns a configuration for the host `q.example` with the routes `/all/`, to one leaf of each
 /// service, and `/one/` and `/once/`, to the first service. Requests of `/once/` run at most once.
 #[must_use]
