shared: hedge after the 95th percentile

Cause: hedges after the 90th percentile of leaf latency doubled calls that were about to be answered. They cost bytes between failure domains and slots of leafs.

--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -38,7 +38,7 @@
 
 /// The quantile of leaf latency after which a second leaf is asked. Its complement is about half of
 /// what the retry budgets of the platform pay for.
-const HEDGE_QUANTILE: f64 = 0.90;
+const HEDGE_QUANTILE: f64 = 0.95;
 
 /// The part of the latency objective after which a second leaf is asked while latencies are
 /// unknown, and at the latest otherwise: the second leaf needs the rest.
