window: limit how many queries wait for a shard, refuse those without room

Cause: under four times the load leafs shed half of the calls, and nearly every query missed a few shards after the others had done their part.

Change: a window per shard and instance, grown and shrunk as TCP does. Queries leave out shards without room and are refused, unseen by any leaf, if too few would remain.

--- a/instance/src/answer.rs
+++ b/instance/src/answer.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use camphorhold::coordination::merge::Coverage;
 use camphorhold::coordination::serving::fanout::Reason;
+use camphorhold::coordination::serving::fanout::Summary;
 use camphorhold::coordination::serving::fanout::Verdict;
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Route;
@@ -26,6 +27,9 @@
 /// When a caller should come back, as a part of the latency objective.
 const RETRY_AFTER_SHARE: f64 = 0.1;
 
+/// Missing shards that are named in the log line of a request.
+const TOLD_SHARDS: usize = 5;
+
 impl Finished {
     /// Returns the answer to a handover, which also tells which shards it holds.
     pub fn respond_to_instance(
@@ -36,9 +40,10 @@
         ticket: &Ticket,
     ) -> Response<Full<Bytes>> {
         let answered: Vec<usize> = self
-            .fanout
-            .answered()
-            .filter_map(|position| ticket.shards.get(position).copied())
+            .summary
+            .answered
+            .iter()
+            .filter_map(|position| ticket.shards.get(*position).copied())
             .collect();
         let mut response = self.respond(plan, passed, origin);
         if let Some(answered) = handover::answered(&answered) {
@@ -50,12 +55,11 @@
     /// Returns the answer to a caller.
     pub fn respond(self, plan: &Plan, passed: &Passed, origin: Origin) -> Response<Full<Bytes>> {
         let elapsed = self.ended.saturating_duration_since(origin.arrived);
-        let (hedges, retries) = self.fanout.extra_calls();
         let outcome = self.outcome(passed, elapsed);
         metrics::counter!("camphorhold_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("camphorhold_request_seconds").record(elapsed.as_secs_f64());
-        metrics::counter!("camphorhold_hedges_total").increment(hedges.into());
-        metrics::counter!("camphorhold_retries_total").increment(retries.into());
+        metrics::counter!("camphorhold_hedges_total").increment(self.summary.hedges.into());
+        metrics::counter!("camphorhold_retries_total").increment(self.summary.retries.into());
         if outcome != "answered" {
             self.log(plan, passed, outcome, elapsed);
         }
@@ -95,9 +99,14 @@
     }
 
     fn log(&self, plan: &Plan, passed: &Passed, outcome: &str, elapsed: Duration) {
-        let coverage = self.fanout.coverage();
-        let (hedges, retries) = self.fanout.extra_calls();
-        let missing: Vec<&str> = self.fanout.missing().take(5).collect();
+        let Summary {
+            coverage,
+            hedges,
+            retries,
+            ref missing,
+            ..
+        } = self.summary;
+        let missing = &missing[..missing.len().min(TOLD_SHARDS)];
         log::info!(
             request = passed.id(),
             route = &*passed.route.name,
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -11,6 +11,7 @@
 use camphorhold::coordination::serving::fanout::Context;
 use camphorhold::coordination::serving::fanout::Outcome;
 use camphorhold::coordination::serving::fanout::Send;
+use camphorhold::coordination::serving::fanout::Summary;
 use camphorhold::coordination::serving::fanout::Verdict;
 use camphorhold::coordination::serving::instances::Group;
 use futures::StreamExt;
@@ -38,7 +39,7 @@
     /// The verdict.
     pub verdict: Verdict,
     /// The calls and what became of them.
-    pub fanout: Fanout,
+    pub summary: Summary,
     /// The answers that are parts of the result.
     pub parts: Vec<Response<Bytes>>,
     /// The last failure that a leaf answered with.
@@ -163,30 +164,39 @@
         });
     }
 
-    fn finish(self, verdict: Verdict) -> Finished {
+    fn finish(mut self, verdict: Verdict) -> Finished {
         let now = self.shared.now();
         Finished {
             ended: now,
             store_age: now.saturating_duration_since(self.shared.store_heard.get()),
             verdict,
-            fanout: self.fanout,
-            parts: self.parts,
-            failure: self.failure,
-            troubles: self.troubles,
+            summary: self.fanout.summary(),
+            parts: std::mem::take(&mut self.parts),
+            failure: self.failure.take(),
+            troubles: std::mem::take(&mut self.troubles),
         }
     }
 }
 
+/// A request ends also if its caller leaves.
+impl Drop for Gathering<'_> {
+    fn drop(&mut self) {
+        with_context(self.shared, |context| self.fanout.end(context));
+    }
+}
+
 fn with_context<T, F>(shared: &Shared, decide: F) -> T
 where
     F: FnOnce(&mut Context<'_>) -> T,
 {
     let fleet = shared.fleet.borrow();
     let mut allowances = shared.allowances.borrow_mut();
+    let mut windows = shared.windows.borrow_mut();
     decide(&mut Context {
         now: shared.now(),
         fleet: &fleet,
         allowances: &mut allowances,
+        windows: &mut windows,
         jitter: shared.jitter(),
     })
 }
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -7,7 +7,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use camphorhold::coordination::merge::Coverage;
 use camphorhold::coordination::serving::fanout;
+use camphorhold::coordination::serving::fanout::Asker;
 use camphorhold::coordination::serving::fanout::Shard;
 use camphorhold::coordination::serving::instances::Group;
 use camphorhold::state::plan::Plan;
@@ -162,6 +164,9 @@
         return refuse(retry_after(&passed.route));
     };
     let Some(ticket) = ticket else {
+        if !leave_out_full(&shared, &passed, &mut request) {
+            return refuse(retry_after(&passed.route));
+        }
         let groups = hand_over(&shared, &passed.route, &mut request);
         let end = gather::run(&shared, &passed, request, plan.version(), groups).await;
         return end.respond(&plan, &passed, origin);
@@ -230,7 +235,7 @@
         .map(|service| Shard {
             terms: Shared::terms(plan, &service),
             service,
-            handed_over: false,
+            asked_by: Asker::Here,
         })
         .collect();
     let used = shared.time_used(route, wait);
@@ -244,6 +249,8 @@
     let (_, hedge_delay) = shared.latency(route);
     Some(fanout::Request {
         shards,
+        started: origin.arrived,
+        counts: origin.source == Source::Caller && matches!(route.target, Target::Shards(_)),
         repeat: route.repeat,
         minimum,
         max_leafs: route.max_leafs,
@@ -254,6 +261,31 @@
     })
 }
 
+/// Leaves out the shards whose windows are full. Returns whether enough remain for an answer.
+fn leave_out_full(shared: &Shared, passed: &Passed, request: &mut fanout::Request) -> bool {
+    if !request.counts {
+        return true;
+    }
+    let windows = shared.windows.borrow();
+    let full: Vec<usize> = (0..request.shards.len())
+        .filter(|shard| !windows.has_room(&request.shards[*shard].service))
+        .collect();
+    for shard in &full {
+        request.shards[*shard].asked_by = Asker::Nobody;
+    }
+    let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+    let coverage = Coverage {
+        answered: number(request.shards.len() - full.len()),
+        in_scope: number(request.shards.len()),
+    };
+    let enough = coverage.reaches(request.minimum);
+    if !enough {
+        metrics::counter!("camphorhold_requests_total", "outcome" => "crowded").increment(1);
+        log::info!(request = passed.id(), route = &*passed.route.name, full = full.len(), in_scope = request.shards.len(); "refused, windows of shards are full");
+    }
+    enough
+}
+
 /// Decides which shards of a query other instances ask.
 fn hand_over(shared: &Shared, route: &Route, request: &mut fanout::Request) -> Vec<Group> {
     let Target::Shards(scope) = &route.target else {
@@ -266,13 +298,16 @@
         .shards
         .first()
         .is_some_and(|shard| fleet.is_scarce(shard.terms));
+    let asked: Vec<usize> = (0..request.shards.len())
+        .filter(|shard| request.shards[*shard].asked_by == Asker::Here)
+        .collect();
     let groups = if scarce {
-        instances.assign_to_owners(&scope.shards, now)
+        instances.assign_to_owners(&scope.shards, &asked, now)
     } else {
-        instances.assign(&fleet, &scope.shards, now, shared.jitter())
+        instances.assign(&fleet, &scope.shards, &asked, now, shared.jitter())
     };
     for shard in groups.iter().flat_map(|group| &group.shards) {
-        request.shards[*shard].handed_over = true;
+        request.shards[*shard].asked_by = Asker::Other;
     }
     groups
 }
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -12,6 +12,7 @@
 use camphorhold::coordination::serving::Allowances;
 use camphorhold::coordination::serving::Fleet;
 use camphorhold::coordination::serving::Instances;
+use camphorhold::coordination::serving::Windows;
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::Terms;
 use camphorhold::coordination::serving::split::Split;
@@ -77,6 +78,8 @@
     pub fleet: RefCell<Fleet>,
     /// The retry budgets.
     pub allowances: RefCell<Allowances>,
+    /// How many queries may wait for each shard.
+    pub windows: RefCell<Windows>,
     /// The other instances.
     pub instances: RefCell<Instances>,
     /// Connections to leafs without a request.
@@ -115,6 +118,7 @@
             served: Notify::new(),
             fleet: RefCell::new(fleet),
             allowances: RefCell::new(allowances),
+            windows: RefCell::default(),
             instances: RefCell::new(instances),
             pool: Pool::default(),
             peers: Pool::default(),
@@ -239,5 +243,8 @@
         self.splits
             .borrow_mut()
             .retain(|name, _| plan.has_route(name));
+        self.windows
+            .borrow_mut()
+            .retain(|shard| plan.service(shard).is_some());
     }
 }
--- a/instance/tests/process.rs
+++ b/instance/tests/process.rs
@@ -7,7 +7,10 @@
 
 use bytes::Bytes;
 use camphorhold_testutils::platform::leaf::Behaviour;
+use camphorhold_testutils::platform::leaf::Leaf;
 use camphorhold_testutils::platform::store::Fault;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use hyper::Response;
 use hyper::StatusCode;
 use support::Instance;
@@ -131,6 +134,37 @@
     assert_eq!(platform.runs(), 0);
 }
 
+/// Found by own-crowd: queries that cannot be answered in time took the leafs' time from the others.
+/// A query beyond what the shards can answer is refused before a leaf has seen it, and at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_query_beyond_the_windows_is_refused_unseen() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    for leaf in &platform.leafs {
+        leaf.set_behaviour(Behaviour::Hang);
+    }
+    let refused = "camphorhold_requests_total{outcome=\"crowded\"}";
+    let mut queries = FuturesUnordered::new();
+    for number in 0..20 {
+        let id = format!("q{number}");
+        let instance = &instance;
+        queries.push(async move { (instance.send(&id, "/all/x").await.unwrap(), id) });
+    }
+    let (answer, id) = queries.next().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!header(&answer, "retry-after").is_empty());
+    assert!(instance.counter(refused).await > 0);
+    let runs = platform.leafs.iter().flat_map(Leaf::runs);
+    assert!(runs.filter(|run| run.request == id).count() == 0);
+    // Shards that answer again are asked again.
+    for leaf in &platform.leafs {
+        leaf.set_behaviour(Behaviour::Answer);
+    }
+    while queries.next().await.is_some() {}
+    let answer = instance.send("r1", "/all/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+}
+
 /// A leaf that works on for a caller who has left takes slots from the others.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaf_learns_that_the_caller_has_left() {
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -11,6 +11,8 @@
 use super::fleet::Fleet;
 use super::fleet::LeafKey;
 use super::fleet::Terms;
+use super::window::Part;
+use super::window::Windows;
 use crate::coordination::merge::Coverage;
 use crate::state::plan::Repeat;
 
@@ -30,6 +32,8 @@
     pub fleet: &'a Fleet,
     /// The retry budgets.
     pub allowances: &'a mut Allowances,
+    /// The windows of the shards.
+    pub windows: &'a mut Windows,
     /// A random number in 0..1.
     pub jitter: f32,
 }
@@ -41,8 +45,19 @@
     pub service: Box<str>,
     /// The limits of its leafs.
     pub terms: Terms,
-    /// Whether another instance asks it.
-    pub handed_over: bool,
+    /// Who asks it.
+    pub asked_by: Asker,
+}
+
+/// Who asks a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asker {
+    /// This instance.
+    Here,
+    /// Another instance.
+    Other,
+    /// Nobody: its window is full.
+    Nobody,
 }
 
 /// What is asked, and by when an answer is useful.
@@ -50,6 +65,11 @@
 pub struct Request {
     /// The shards.
     pub shards: Vec<Shard>,
+    /// When the request had arrived.
+    pub started: Instant,
+    /// Whether its shards count in the windows. A query that was handed over counts where its
+    /// caller is, and a request to one service is refused by its leafs.
+    pub counts: bool,
     /// Whether calls may be repeated.
     pub repeat: Repeat,
     /// The smallest share of shards, from 0 to 1, that makes an answer.
@@ -136,10 +156,27 @@
     recheck_at: Option<Instant>,
 }
 
+/// The calls of a request and what became of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Summary {
+    /// How many shards have answered.
+    pub coverage: Coverage,
+    /// Calls to a second leaf because the first was late.
+    pub hedges: u32,
+    /// Calls that replaced a failed one.
+    pub retries: u32,
+    /// The positions of the shards that have answered.
+    pub answered: Vec<usize>,
+    /// The services of the others.
+    pub missing: Vec<Box<str>>,
+}
+
 /// A request in progress.
 #[derive(Clone, Debug)]
 pub struct Fanout {
     shards: Vec<Progress>,
+    started: Instant,
+    counts: bool,
     repeat: Repeat,
     minimum: f64,
     max_leafs: usize,
@@ -157,10 +194,15 @@
 impl Fanout {
     /// Starts a request and returns its first calls.
     pub fn start(request: Request, context: &mut Context<'_>) -> (Self, Vec<Send>) {
-        let open = u32::try_from(request.shards.len()).unwrap_or(u32::MAX);
-        let direct: Vec<usize> = (0..request.shards.len())
-            .filter(|index| !request.shards[*index].handed_over)
-            .collect();
+        let asked_by = |asker: Asker| {
+            let is_asked = |index: &usize| request.shards[*index].asked_by == asker;
+            (0..request.shards.len())
+                .filter(is_asked)
+                .collect::<Vec<_>>()
+        };
+        let direct = asked_by(Asker::Here);
+        let open = direct.len() + asked_by(Asker::Other).len();
+        let open = u32::try_from(open).unwrap_or(u32::MAX);
         let mut fanout = Self {
             shards: request
                 .shards
@@ -168,7 +210,10 @@
                 .map(|shard| Progress {
                     service: shard.service,
                     terms: shard.terms,
-                    state: State::Open,
+                    state: match shard.asked_by {
+                        Asker::Here | Asker::Other => State::Open,
+                        Asker::Nobody => State::Failed,
+                    },
                     in_flight: Vec::new(),
                     tried: Vec::new(),
                     arrivals: 0,
@@ -177,6 +222,8 @@
                     recheck_at: None,
                 })
                 .collect(),
+            started: request.started,
+            counts: request.counts,
             repeat: request.repeat,
             minimum: request.minimum,
             max_leafs: request.max_leafs.max(1),
@@ -190,6 +237,11 @@
             hedges: 0,
             retries: 0,
         };
+        if fanout.counts {
+            for progress in fanout.open_shards() {
+                context.windows.on_start(&progress.service);
+            }
+        }
         let mut sends = Vec::with_capacity(fanout.shards.len());
         for index in direct {
             let service = &fanout.shards[index].service;
@@ -217,13 +269,13 @@
             return;
         }
         match outcome {
-            Outcome::Part => self.answer(shard),
+            Outcome::Part => self.answer(shard, context),
             Outcome::Unsent => {
                 progress.unsent += 1;
                 progress.arrivals = progress.arrivals.saturating_sub(1);
                 progress.tried.retain(|key| *key != leaf);
                 if progress.in_flight.is_empty() && progress.unsent >= MAX_UNSENT {
-                    self.fail(shard);
+                    self.fail(shard, context);
                 } else if progress.in_flight.is_empty() {
                     self.send_or_wait(shard, context, sends);
                 }
@@ -232,7 +284,7 @@
             Outcome::Failed if self.repeat == Repeat::Idempotent => {
                 self.retry(shard, context, sends);
             }
-            Outcome::Failed => self.fail(shard),
+            Outcome::Failed => self.fail(shard, context),
         }
     }
 
@@ -253,7 +305,7 @@
         match outcome {
             Outcome::Part => {
                 self.may_have_run = true;
-                self.answer(shard);
+                self.answer(shard, context);
                 return;
             }
             Outcome::Failed => {
@@ -262,7 +314,7 @@
                 // The other instance may have asked as many leafs as are permitted, and any further
                 // one would be too many.
                 if context.fleet.count(&progress.service) > self.max_leafs {
-                    self.fail(shard);
+                    self.fail(shard, context);
                     return;
                 }
             }
@@ -275,6 +327,22 @@
         self.send_or_wait(shard, context, sends);
     }
 
+    /// Ends the request: the shards without an answer no longer count as asked.
+    pub fn end(&mut self, context: &mut Context<'_>) {
+        let part = if context.now >= self.answer_by {
+            Part::Missed
+        } else {
+            Part::Dropped
+        };
+        for shard in 0..self.shards.len() {
+            if self.shards[shard].state == State::Open {
+                self.shards[shard].state = State::Failed;
+                self.open -= 1;
+                self.note_end(shard, part, context);
+            }
+        }
+    }
+
     /// Handles the passing of time. Hedges and calls that waited for a leaf are added to `sends`.
     pub fn on_timer(&mut self, context: &mut Context<'_>, sends: &mut Vec<Send>) {
         for index in 0..self.shards.len() {
@@ -344,23 +412,22 @@
         }
     }
 
-    /// Returns the numbers of hedges and of retries.
+    /// Returns the calls and what became of them.
     #[must_use]
-    pub fn extra_calls(&self) -> (u32, u32) {
-        (self.hedges, self.retries)
-    }
-
-    /// Returns the services of the shards without an answer.
-    pub fn missing(&self) -> impl Iterator<Item = &str> {
-        self.shards
-            .iter()
-            .filter(|progress| progress.state != State::Answered)
-            .map(|progress| &*progress.service)
-    }
-
-    /// Returns the positions of the shards that have answered.
-    pub fn answered(&self) -> impl Iterator<Item = usize> {
-        (0..self.shards.len()).filter(|shard| self.shards[*shard].state == State::Answered)
+    pub fn summary(&self) -> Summary {
+        let with_state = |answered: bool| {
+            (0..self.shards.len())
+                .filter(move |shard| (self.shards[*shard].state == State::Answered) == answered)
+        };
+        Summary {
+            coverage: self.coverage(),
+            hedges: self.hedges,
+            retries: self.retries,
+            answered: with_state(true).collect(),
+            missing: with_state(false)
+                .map(|shard| self.shards[shard].service.clone())
+                .collect(),
+        }
     }
 
     fn reaches_minimum(&self) -> bool {
@@ -373,17 +440,38 @@
             .any(|progress| !progress.in_flight.is_empty())
     }
 
-    fn answer(&mut self, shard: usize) {
+    fn open_shards(&self) -> impl Iterator<Item = &Progress> {
+        self.shards
+            .iter()
+            .filter(|progress| progress.state == State::Open)
+    }
+
+    fn answer(&mut self, shard: usize, context: &mut Context<'_>) {
         self.shards[shard].state = State::Answered;
         self.answered += 1;
         self.open -= 1;
+        let part = if context.now <= self.answer_by {
+            Part::InTime
+        } else {
+            Part::Missed
+        };
+        self.note_end(shard, part, context);
     }
 
-    fn fail(&mut self, shard: usize) {
-        let progress = &mut self.shards[shard];
-        if progress.state == State::Open {
-            progress.state = State::Failed;
+    fn fail(&mut self, shard: usize, context: &mut Context<'_>) {
+        if self.shards[shard].state == State::Open {
+            self.shards[shard].state = State::Failed;
             self.open -= 1;
+            self.note_end(shard, Part::Missed, context);
+        }
+    }
+
+    fn note_end(&self, shard: usize, part: Part, context: &mut Context<'_>) {
+        if self.counts {
+            let service = &self.shards[shard].service;
+            context
+                .windows
+                .on_end(service, part, self.started, context.now);
         }
     }
 
@@ -426,7 +514,7 @@
             if waits {
                 self.shards[shard].recheck_at = Some(context.now + RECHECK);
             } else {
-                self.fail(shard);
+                self.fail(shard, context);
             }
             return;
         };
@@ -434,7 +522,7 @@
         if progress.arrivals > 0 {
             let service = &progress.service;
             if !context.allowances.take(service, Use::Retry, context.now) {
-                self.fail(shard);
+                self.fail(shard, context);
                 return;
             }
             self.retries += 1;
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -142,17 +142,20 @@
     }
 
     /// Divides the shards without a leaf in the own failure domain among instances that have leafs
-    /// of them in theirs. Shards that nobody covers stay with this instance. `jitter` in 0..1
-    /// spreads handovers over equally good instances.
+    /// of them in theirs. Shards that nobody covers stay with this instance, as do those that are not
+    /// among the positions `asked`. `jitter` in 0..1 spreads handovers over equally good instances.
     #[must_use]
     pub fn assign(
         &self,
         fleet: &Fleet,
         shards: &[Box<str>],
+        asked: &[usize],
         now: Instant,
         jitter: f32,
     ) -> Vec<Group> {
-        let mut open: Vec<usize> = (0..shards.len())
+        let mut open: Vec<usize> = asked
+            .iter()
+            .copied()
             .filter(|shard| !fleet.covers(&shards[*shard], &self.own_domain, now))
             .collect();
         let mut groups = Vec::new();
@@ -199,10 +202,15 @@
         domains.len()
     }
 
-    /// Divides the shards among their owners in the own failure domain. Shards that this instance
-    /// owns stay with it, as do all while it knows of no other.
+    /// Divides the shards at the positions `asked` among their owners in the own failure domain.
+    /// Shards that this instance owns stay with it, as do all while it knows of no other.
     #[must_use]
-    pub fn assign_to_owners(&self, shards: &[Box<str>], now: Instant) -> Vec<Group> {
+    pub fn assign_to_owners(
+        &self,
+        shards: &[Box<str>],
+        asked: &[usize],
+        now: Instant,
+    ) -> Vec<Group> {
         let members: Vec<(&Box<str>, &Instance, &Location)> = self
             .names
             .iter()
@@ -213,8 +221,8 @@
             })
             .collect();
         let mut groups: HashMap<&str, Group> = HashMap::new();
-        for (position, shard) in shards.iter().enumerate() {
-            let hash = xxh3_64(shard.as_bytes());
+        for position in asked.iter().copied() {
+            let hash = xxh3_64(shards[position].as_bytes());
             let owner = members
                 .iter()
                 .max_by_key(|(_, instance, _)| rank(instance.hash, hash));
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -10,8 +10,10 @@
 pub mod instances;
 pub mod shutdown;
 pub mod split;
+pub mod window;
 
 pub use self::allowance::Allowances;
 pub use self::fanout::Fanout;
 pub use self::fleet::Fleet;
 pub use self::instances::Instances;
+pub use self::window::Windows;
--- a/lib/tests/serving_fanout.rs
+++ b/lib/tests/serving_fanout.rs
@@ -10,7 +10,9 @@
 use camphorhold::coordination::serving::Allowances;
 use camphorhold::coordination::serving::Fanout;
 use camphorhold::coordination::serving::Fleet;
+use camphorhold::coordination::serving::Windows;
 use camphorhold::coordination::serving::allowance::Bound;
+use camphorhold::coordination::serving::fanout::Asker;
 use camphorhold::coordination::serving::fanout::Context;
 use camphorhold::coordination::serving::fanout::Outcome;
 use camphorhold::coordination::serving::fanout::Reason;
@@ -41,6 +43,7 @@
     start: Instant,
     fleet: Fleet,
     allowances: Allowances,
+    windows: Windows,
 }
 
 impl World {
@@ -54,6 +57,7 @@
             start,
             fleet: fleet(leafs, start),
             allowances: Allowances::new(bound, 1, start),
+            windows: Windows::default(),
         }
     }
 
@@ -62,6 +66,7 @@
             now: self.start + ms(after),
             fleet: &self.fleet,
             allowances: &mut self.allowances,
+            windows: &mut self.windows,
             jitter: 0.0,
         }
     }
@@ -73,9 +78,11 @@
                 .map(|service| Shard {
                     service: (*service).into(),
                     terms: TERMS,
-                    handed_over: false,
+                    asked_by: Asker::Here,
                 })
                 .collect(),
+            started: self.start,
+            counts: true,
             repeat: Repeat::Idempotent,
             minimum: 0.5,
             max_leafs: 2,
@@ -304,7 +311,7 @@
     let mut world = World::new(&leafs);
     let mut request = world.request(&["s1", "s2"]);
     for shard in &mut request.shards {
-        shard.handed_over = true;
+        shard.asked_by = Asker::Other;
     }
     let (mut fanout, sends) = Fanout::start(request, &mut world.context(0));
     assert_eq!(sends, []);
@@ -326,10 +333,58 @@
     };
     let mut world = World::with_bound(&LEAFS, none);
     let mut request = world.request(&["s1"]);
-    request.shards[0].handed_over = true;
+    request.shards[0].asked_by = Asker::Other;
     let (mut fanout, _) = Fanout::start(request, &mut world.context(0));
     let mut sends = Vec::new();
     let mut context = world.context(3);
     fanout.on_handed_over(0, Outcome::NotRun, &mut context, &mut sends);
     assert_eq!(sends.len(), 1);
 }
+
+/// Found by own-crowd: at four times the load most queries missed a few shards, and the others had
+/// worked in vain.
+#[test]
+fn parts_count_in_the_windows_until_they_end() {
+    let mut world = World::new(&LEAFS);
+    let mut full = 0;
+    while world.windows.has_room("s1") {
+        let request = world.request(&["s1", "s2"]);
+        let (fanout, _) = Fanout::start(request, &mut world.context(0));
+        drop(fanout);
+        full += 1;
+    }
+    let request = world.request(&["s2"]);
+    world.windows = Windows::default();
+    for _ in 0..full - 1 {
+        Fanout::start(world.request(&["s1", "s2"]), &mut world.context(0));
+    }
+    let (mut fanout, sends) = Fanout::start(world.request(&["s1", "s2"]), &mut world.context(0));
+    assert!(!world.windows.has_room("s1"));
+    let mut more = Vec::new();
+    let mut context = world.context(20);
+    fanout.on_outcome(0, sends[0].leaf, Outcome::Part, &mut context, &mut more);
+    assert!(world.windows.has_room("s1"));
+    assert!(!world.windows.has_room("s2"));
+    fanout.end(&mut world.context(20));
+    assert!(world.windows.has_room("s2"));
+    // A query that another instance handed over counts where its caller is.
+    let mut handed_over = request;
+    handed_over.counts = false;
+    let before = world.windows.clone();
+    Fanout::start(handed_over, &mut world.context(20));
+    assert_eq!(format!("{before:?}"), format!("{:?}", world.windows));
+}
+
+#[test]
+fn a_shard_without_room_is_left_out() {
+    let mut world = World::new(&LEAFS);
+    let mut request = world.request(&["s1", "s2"]);
+    request.shards[0].asked_by = Asker::Nobody;
+    let (mut fanout, sends) = Fanout::start(request, &mut world.context(0));
+    assert_eq!(sends.len(), 1);
+    assert_eq!(world.id(sends[0]), "s2a");
+    let mut more = Vec::new();
+    let mut context = world.context(20);
+    fanout.on_outcome(1, sends[0].leaf, Outcome::Part, &mut context, &mut more);
+    assert_eq!(world.verdict(&fanout, 20), Some(answer(1, 2)));
+}
--- a/lib/tests/serving_parts.rs
+++ b/lib/tests/serving_parts.rs
@@ -147,7 +147,8 @@
     instances.add("2", Some(location("b")));
     instances.add("3", Some(location("c")));
     let shards = services(&["s1", "s2", "s3", "s4", "s5"]);
-    let groups = instances.assign(&fleet, &shards, now, 0.0);
+    let asked: Vec<usize> = (0..shards.len()).collect();
+    let groups = instances.assign(&fleet, &shards, &asked, now, 0.0);
     assert_eq!(groups.len(), 1);
     assert_eq!(&*groups[0].name, "2");
     assert_eq!(groups[0].shards, [1, 2, 3]);
@@ -161,11 +162,15 @@
     let mut instances = Instances::new("1".into(), "a".into());
     instances.add("2", Some(location("b")));
     let shards = services(&["s2", "s3", "s4"]);
+    let asked: Vec<usize> = (0..shards.len()).collect();
     instances.on_sent("2");
     instances.on_end("2", Handover::Failed, now);
-    assert_eq!(instances.assign(&fleet, &shards, now, 0.0), []);
+    assert_eq!(instances.assign(&fleet, &shards, &asked, now, 0.0), []);
     let later = now + ms(500);
-    assert_eq!(instances.assign(&fleet, &shards, later, 0.0).len(), 1);
+    assert_eq!(
+        instances.assign(&fleet, &shards, &asked, later, 0.0).len(),
+        1
+    );
 }
 
 /// Instances that disagree on owners would each call a leaf, with the connections of one.
@@ -182,9 +187,10 @@
         instances
     };
     let shards: Vec<Box<str>> = (0..60).map(|shard| format!("s{shard}").into()).collect();
+    let asked: Vec<usize> = (0..shards.len()).collect();
     let owners = |instances: &Instances, own: &str| {
         let mut owners = vec![own.to_owned(); shards.len()];
-        for group in instances.assign_to_owners(&shards, now) {
+        for group in instances.assign_to_owners(&shards, &asked, now) {
             for shard in group.shards {
                 owners[shard] = group.name.to_string();
             }
