--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -1,14 +1,15 @@
 //! A randomized soak of the instances: they run as separate processes, faults reach them only from
 //! outside, and what callers and leafs see is checked against the promises.
 //!
-//! One seed gives one [`schedule`]: which faults come when. The [`world`] starts the instances, the
-//! stand-ins of store and leafs, and a [`proxy`] on every link between them, and applies the
+//! One seed gives one [`schedule`]: which faults come when. The [`world`] starts the stand-ins
+//! of store and leafs, the [`instances`] and a [`proxy`] on every link between them, and applies the
 //! schedule. [`caller`] sends requests meanwhile, and [`check`] compares what came of them with
 //! what the leafs ran. The instances have no disk and decide nothing by the time of day, so storage
 //! and clocks are not disturbed.
 
 mod caller;
 mod check;
+mod instances;
 mod proxy;
 mod schedule;
 mod world;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,22 +1,16 @@
-//! The instances, what surrounds them, and the faults that reach them.
+//! What surrounds the instances, and the faults that reach them.
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::net::SocketAddr;
-use std::os::unix::process::ExitStatusExt;
-use std::process::ExitStatus;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
-use camphorhold::state::time::Clock;
-use camphorhold::state::time::SystemClock;
 use camphorhold_testutils::platform::CONFIGURATION_KEY;
 use camphorhold_testutils::platform::configuration;
 use camphorhold_testutils::platform::leaf::Behaviour;
 use camphorhold_testutils::platform::leaf::Leaf;
 use camphorhold_testutils::platform::process::Place;
-use camphorhold_testutils::platform::process::Process;
 use camphorhold_testutils::platform::store::Fault as StoreFault;
 use camphorhold_testutils::platform::store::Store;
 use nix::sys::signal::Signal;
@@ -39,6 +33,9 @@
 use crate::check::Evidence;
 use crate::check::Span;
 use crate::check::Violation;
+use crate::instances::Instances;
+use crate::instances::TICK;
+use crate::instances::now;
 use crate::proxy::Proxy;
 use crate::proxy::Trouble;
 use crate::schedule;
@@ -58,9 +55,6 @@
 /// Callers that send requests at the same time.
 const CALLERS: usize = 8;
 
-/// The time from SIGTERM to SIGKILL, as the settings say.
-const GRACE: Duration = Duration::from_secs(6);
-
 /// The time in which a drained leaf goes on serving, and until its address may be used again.
 const DRAIN: Duration = Duration::from_millis(3_500);
 
@@ -74,43 +68,6 @@
 const RECOVERY_SAMPLE: usize = 60;
 const RECOVERED: usize = 57;
 
-/// The pause before a process that ended starts again.
-const RESTART: Duration = Duration::from_millis(150);
-
-/// The time in which a process sets its signal handlers.
-const START: Duration = Duration::from_millis(500);
-
-/// Between two looks at a process.
-const TICK: Duration = Duration::from_millis(20);
-
-struct Instance {
-    process: RefCell<Process>,
-    // Counts the starts, so that a fault that waits sees that another one came first.
-    starts: Cell<u32>,
-    // When it was started last.
-    started: Cell<Instant>,
-    // Whether the end of the process is asked for.
-    ending: Cell<bool>,
-    store_link: Proxy,
-}
-
-impl Instance {
-    fn restart(&self) -> std::io::Result<()> {
-        self.starts.set(self.starts.get() + 1);
-        self.started.set(now());
-        self.ending.set(false);
-        self.process.borrow_mut().restart()
-    }
-
-    /// Tells whether a process that was asked to end ended as it should. One that has just started
-    /// may not have set its signal handlers yet, and has taken no request.
-    fn ended_well(&self, status: ExitStatus, asked: Instant) -> bool {
-        let age = asked.saturating_duration_since(self.started.get());
-        let is_starting = age < START && status.signal() == Some(Signal::SIGTERM as i32);
-        status.success() || is_starting
-    }
-}
-
 struct LeafSite {
     leaf: Leaf,
     link: Proxy,
@@ -121,12 +78,12 @@
 /// Everything that runs, and what has happened so far.
 struct World {
     store: Store,
-    instances: Vec<Instance>,
+    instances: Rc<Instances>,
     leafs: Vec<LeafSite>,
     version: Cell<u64>,
     foreign: Cell<u64>,
     evacuating: [Cell<bool>; DOMAINS.len()],
-    evidence: RefCell<Evidence>,
+    evidence: Rc<RefCell<Evidence>>,
 }
 
 /// Makes one run.
@@ -140,11 +97,7 @@
     let events = schedule::draw(&mut random, size, options.length);
     let world = Rc::new(World::start(options).await?);
     let records = Records::default();
-    let addresses: Rc<[SocketAddr]> = world
-        .instances
-        .iter()
-        .map(|instance| instance.process.borrow().callers())
-        .collect();
+    let addresses = world.instances.addresses();
     let mut callers = JoinSet::new();
     for number in 0..CALLERS {
         let name = format!("{}-{number}", options.seed);
@@ -156,7 +109,7 @@
         );
         callers.spawn_local(run);
     }
-    let watching = tokio::task::spawn_local(Rc::clone(&world).watch());
+    let watching = tokio::task::spawn_local(Rc::clone(&world.instances).watch());
     let mut faults = JoinSet::new();
     for event in &events {
         let world = Rc::clone(&world);
@@ -173,7 +126,7 @@
     world.wait_for_recovery(&records).await;
     callers.shutdown().await;
     watching.abort();
-    world.stop().await?;
+    world.instances.stop().await?;
     let leafs: Vec<Leaf> = world.leafs.iter().map(|site| site.leaf.clone()).collect();
     let evidence = world.evidence.take();
     let violations = check::check(&records.borrow(), &leafs, &evidence);
@@ -192,10 +145,6 @@
     })
 }
 
-fn now() -> Instant {
-    SystemClock.now()
-}
-
 impl World {
     async fn start(options: &Options) -> Result<Self, Error> {
         let store = Store::start().await?;
@@ -211,29 +160,20 @@
                 draining: Cell::new(false),
             });
         }
-        let mut instances = Vec::new();
-        for number in 0..options.instances {
-            let store_link = Proxy::start(store.address()).await?;
+        let place = |number: usize| {
             let name = format!("instance-{number}");
-            let log = options
-                .logs
-                .as_ref()
-                .map(|folder| folder.join(format!("{}-{name}.log", options.seed)));
-            let process = Process::start(Place {
+            let log = |folder: &PathBuf| folder.join(format!("{}-{name}.log", options.seed));
+            Place {
                 program: options.program.clone(),
-                name,
                 domain: DOMAINS[number % DOMAINS.len()].into(),
-                store: store_link.address(),
-                log,
-            })?;
-            instances.push(Instance {
-                process: RefCell::new(process),
-                starts: Cell::new(1),
-                started: Cell::new(now()),
-                ending: Cell::new(false),
-                store_link,
-            });
-        }
+                store: store.address(),
+                log: options.logs.as_ref().map(log),
+                name,
+            }
+        };
+        let places = (0..options.instances).map(place).collect();
+        let evidence = Rc::new(RefCell::new(Evidence::new(options.instances)));
+        let instances = Rc::new(Instances::start(places, Rc::clone(&evidence)).await?);
         let world = Self {
             store,
             instances,
@@ -241,16 +181,12 @@
             version: Cell::new(0),
             foreign: Cell::new(0),
             evacuating: Default::default(),
-            evidence: RefCell::new(Evidence::new(options.instances)),
+            evidence,
         };
         for leaf in 0..world.leafs.len() {
             world.register(leaf, "ready");
         }
         world.configure();
-        // The start of a process counts as a disturbance.
-        for instance in 0..options.instances {
-            world.disturb(instance, Duration::ZERO);
-        }
         Ok(world)
     }
 
@@ -276,61 +212,30 @@
         });
     }
 
-    /// Records that an instance is disturbed from now on for `length`.
-    fn disturb(&self, instance: usize, length: Duration) {
-        let from = now();
-        let span = Span {
-            from,
-            to: from + length,
-        };
-        self.evidence.borrow_mut().disturbed[instance].push(span);
-    }
-
-    fn disturb_all(&self, length: Duration) {
-        for instance in 0..self.instances.len() {
-            self.disturb(instance, length);
-        }
-    }
-
-    fn report(&self, violation: Violation) {
-        self.evidence.borrow_mut().violations.push(violation);
-    }
-
     async fn apply(&self, event: Event) -> std::io::Result<()> {
         let length = event.length;
         match event.fault {
-            Fault::Kill(instance) => self.kill(instance).await?,
-            Fault::Pause(instance) => {
-                self.disturb(instance, length);
-                let from = now();
-                let to = from + length;
-                self.evidence.borrow_mut().paused[instance].push(Span { from, to });
-                let signal = |signal| self.instances[instance].process.borrow().signal(signal);
-                signal(Signal::SIGSTOP)?;
-                tokio::time::sleep(length).await;
-                signal(Signal::SIGCONT)?;
-            }
-            Fault::Terminate(instance) => self.terminate(instance).await?,
+            Fault::Kill(instance) => self.instances.kill(instance).await?,
+            Fault::Pause(instance) => self.instances.pause(instance, length).await?,
+            Fault::Terminate(instance) => self.instances.terminate(instance).await?,
             Fault::Hangup(instance) => {
-                self.disturb(instance, Duration::ZERO);
-                let process = self.instances[instance].process.borrow();
-                process.signal(Signal::SIGHUP)?;
+                self.instances.disturb(instance, Duration::ZERO);
+                self.instances.signal(instance, Signal::SIGHUP)?;
             }
             Fault::StoreLink(instance, trouble) => {
-                self.disturb(instance, length);
-                let link = &self.instances[instance].store_link;
-                link.set(trouble);
+                self.instances.disturb(instance, length);
+                self.instances.set_store_link(instance, trouble);
                 tokio::time::sleep(length).await;
-                link.set(Trouble::None);
+                self.instances.set_store_link(instance, Trouble::None);
             }
             Fault::Store(fault) => {
-                self.disturb_all(length);
+                self.instances.disturb_all(length);
                 self.store.set_fault(fault);
                 tokio::time::sleep(length).await;
                 self.store.set_fault(StoreFault::None);
             }
             Fault::Compact => {
-                self.disturb_all(Duration::ZERO);
+                self.instances.disturb_all(Duration::ZERO);
                 self.store.compact();
             }
             Fault::LeafLink(leaf, trouble) => {
@@ -372,70 +277,6 @@
         Ok(())
     }
 
-    async fn kill(&self, number: usize) -> std::io::Result<()> {
-        let instance = &self.instances[number];
-        let start = instance.starts.get() + 1;
-        instance.starts.set(start);
-        instance.process.borrow_mut().kill()?;
-        self.disturb(number, RESTART);
-        self.evidence.borrow_mut().killed[number].push(now());
-        tokio::time::sleep(RESTART).await;
-        if instance.starts.get() == start {
-            instance.restart()?;
-        }
-        Ok(())
-    }
-
-    async fn terminate(&self, number: usize) -> std::io::Result<()> {
-        let instance = &self.instances[number];
-        if instance.ending.replace(true) {
-            return Ok(());
-        }
-        let start = instance.starts.get();
-        let asked = now();
-        self.disturb(number, GRACE + RESTART);
-        instance.process.borrow().signal(Signal::SIGTERM)?;
-        loop {
-            tokio::time::sleep(TICK).await;
-            if instance.starts.get() != start {
-                // It was killed meanwhile, and starts again.
-                return Ok(());
-            }
-            let exit = instance.process.borrow_mut().exit()?;
-            if let Some(status) = exit {
-                if !instance.ended_well(status, asked) {
-                    self.report(Violation::new(
-                        "shutdown",
-                        format!("instance {number} ended with {status}"),
-                    ));
-                }
-                break;
-            }
-            if now().saturating_duration_since(asked) > GRACE {
-                if !self.was_paused(number, asked) {
-                    self.report(Violation::new(
-                        "shutdown",
-                        format!("instance {number} runs after its grace period"),
-                    ));
-                }
-                return self.kill(number).await;
-            }
-        }
-        tokio::time::sleep(RESTART).await;
-        if instance.starts.get() == start {
-            instance.restart()?;
-            self.disturb(number, Duration::ZERO);
-        }
-        Ok(())
-    }
-
-    /// Tells whether more than the end of the process disturbed an instance since `asked`.
-    fn was_paused(&self, number: usize, asked: Instant) -> bool {
-        let evidence = self.evidence.borrow();
-        let since = |span: &&Span| span.to >= asked;
-        evidence.disturbed[number].iter().filter(since).count() > 1
-    }
-
     async fn drain(&self, number: usize, length: Duration) {
         let site = &self.leafs[number];
         if site.draining.replace(true) {
@@ -457,39 +298,11 @@
         site.draining.set(false);
     }
 
-    /// Starts processes again that ended although nobody asked for it.
-    async fn watch(self: Rc<Self>) {
-        loop {
-            tokio::time::sleep(TICK).await;
-            for (number, instance) in self.instances.iter().enumerate() {
-                if instance.ending.get() {
-                    continue;
-                }
-                let exit = instance.process.borrow_mut().exit();
-                if let Ok(Some(status)) = exit {
-                    self.report(Violation::new(
-                        "end",
-                        format!("instance {number} ended by itself: {status}"),
-                    ));
-                    self.disturb(number, RESTART);
-                    tokio::time::sleep(RESTART).await;
-                    let restarted = instance.restart();
-                    if let Err(error) = restarted {
-                        self.report(Violation::new(
-                            "end",
-                            format!("cannot start again: {error}"),
-                        ));
-                    }
-                }
-            }
-        }
-    }
-
     /// Ends all faults that can last.
     fn clear(&self) {
         self.store.set_fault(StoreFault::None);
-        for instance in &self.instances {
-            instance.store_link.set(Trouble::None);
+        for number in 0..self.evidence.borrow().disturbed.len() {
+            self.instances.set_store_link(number, Trouble::None);
         }
         for site in &self.leafs {
             site.link.set(Trouble::None);
@@ -518,40 +331,10 @@
                     last.len(),
                     last.iter().filter(unsent).count()
                 );
-                self.report(Violation::new("recovery", detail));
+                let violation = Violation::new("recovery", detail);
+                self.evidence.borrow_mut().violations.push(violation);
                 return;
             }
         }
     }
-
-    /// Ends all instances.
-    async fn stop(&self) -> std::io::Result<()> {
-        for instance in &self.instances {
-            instance.process.borrow().signal(Signal::SIGTERM)?;
-        }
-        let asked = now();
-        for (number, instance) in self.instances.iter().enumerate() {
-            loop {
-                let exit = instance.process.borrow_mut().exit()?;
-                if let Some(status) = exit {
-                    if !status.success() {
-                        self.report(Violation::new(
-                            "shutdown",
-                            format!("instance {number} ended with {status}"),
-                        ));
-                    }
-                    break;
-                }
-                if now().saturating_duration_since(asked) > GRACE {
-                    self.report(Violation::new(
-                        "shutdown",
-                        format!("instance {number} runs after its grace period"),
-                    ));
-                    break;
-                }
-                tokio::time::sleep(TICK).await;
-            }
-        }
-        Ok(())
-    }
 }
