--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -160,12 +160,12 @@
     }
 
     /// Asks the process to end.
-    pub fn terminate(&self) {
+    pub fn terminate(&mut self) {
         self.process.signal(Signal::SIGTERM).unwrap();
     }
 
     /// Tells the process that its settings file has changed.
-    pub fn hang_up(&self) {
+    pub fn hang_up(&mut self) {
         self.process.signal(Signal::SIGHUP).unwrap();
     }
 
--- a/soak/src/instances.rs
+++ b/soak/src/instances.rs
@@ -108,7 +108,7 @@
 
     /// Sends a signal to a process.
     pub(crate) fn signal(&self, number: usize, signal: Signal) -> std::io::Result<()> {
-        self.sites[number].process.borrow().signal(signal)
+        self.sites[number].process.borrow_mut().signal(signal)
     }
 
     /// Records that an instance is disturbed from now on for `length`.
@@ -166,7 +166,7 @@
         let start = instance.starts.get();
         let asked = now();
         self.disturb(number, GRACE + RESTART);
-        instance.process.borrow().signal(Signal::SIGTERM)?;
+        instance.process.borrow_mut().signal(Signal::SIGTERM)?;
         loop {
             tokio::time::sleep(TICK).await;
             if instance.starts.get() != start {
@@ -239,7 +239,7 @@
     /// Ends all instances.
     pub(crate) async fn stop(&self) -> std::io::Result<()> {
         for instance in &self.sites {
-            instance.process.borrow().signal(Signal::SIGTERM)?;
+            instance.process.borrow_mut().signal(Signal::SIGTERM)?;
         }
         let asked = now();
         for (number, instance) in self.sites.iter().enumerate() {
--- a/testutils/src/platform/process.rs
+++ b/testutils/src/platform/process.rs
@@ -133,15 +133,18 @@
         self.metrics
     }
 
-    /// Sends a signal to the process, if it runs.
+    /// Sends a signal to the process, if it runs. The id of one that has ended may belong to another.
     ///
     /// # Errors
     ///
     /// Returns an error if the process cannot be signalled.
-    pub fn signal(&self, signal: Signal) -> std::io::Result<()> {
-        let Some(child) = &self.child else {
+    pub fn signal(&mut self, signal: Signal) -> std::io::Result<()> {
+        let Some(child) = &mut self.child else {
             return Ok(());
         };
+        if child.try_wait()?.is_some() {
+            return Ok(());
+        }
         let id = i32::try_from(child.id()).map_err(std::io::Error::other)?;
         Ok(kill(Pid::from_raw(id), signal)?)
     }
