fleet: estimates of leafs last 4 s

Cause: an estimate lost two thirds of its difference from normal in 2 s, so each of seven instances tried a leaf that stays slow for 7 s again every 2 to 3 s, with a call whose part was then missing.

--- a/lib/src/coordination/serving/fleet/leaf.rs
+++ b/lib/src/coordination/serving/fleet/leaf.rs
@@ -21,7 +21,7 @@
 
 /// The time in which an estimate without samples loses two thirds of its difference from the
 /// normal value, so that a leaf that was slow is tried again.
-const ESTIMATE_MEMORY_S: f32 = 2.0;
+const ESTIMATE_MEMORY_S: f32 = 4.0;
 
 /// A sample counts as at most this many medians, so that one straggler does not set the estimate.
 const MAX_SLOWNESS: f32 = 12.0;
