follower: an outage ends when the store answers, not at the next change

Cause, found by reading: after an outage the watch waits up to 25 s, and only its return counted as the end of the outage. An entry removed then was taken for one that lapsed during the outage and its leaf kept 2.3 s longer; with the pause for bursts that is beyond the 3 s for a leaf that leaves without a notice.

Test: a_leaf_that_leaves_after_an_outage_is_not_kept, fails before.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -110,7 +110,8 @@
             tokio::time::sleep(*pause).await;
             *pause = (*pause * 2).min(LONGEST_PAUSE);
             match self.probes.probe(&self.probe_key).await {
-                Ok(_) => return,
+                // The next watch may wait for long; entries that lapsed are due back from now on.
+                Ok(_) => return self.on_success(),
                 Err(error) => self.on_failure(&error),
             }
         }
--- a/instance/tests/process.rs
+++ b/instance/tests/process.rs
@@ -316,6 +316,30 @@
     assert_eq!(answer.status(), StatusCode::OK);
 }
 
+/// An outage ends when the store answers, not when the next change is read: otherwise a leaf that
+/// leaves long after it is kept as one whose entry has lapsed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaf_that_leaves_after_an_outage_is_not_kept() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.store.set_fault(Fault::Refuse);
+    let failed = "camphorhold_store_calls_total{outcome=\"failed\"}";
+    wait_until("calls to the store fail for a while", || async {
+        instance.counter(failed).await > 4
+    })
+    .await;
+    platform.store.set_fault(Fault::None);
+    // What lapsed is back within two seconds; after them a missing entry means that a leaf is gone.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    platform.store.remove(&platform.leafs[0].key());
+    let gone = wait_until("the other leaf is asked", || async {
+        let answer = instance.send("r", "/one/x").await.unwrap();
+        header(&answer, "x-camphorhold-server-stamp").starts_with("i-1")
+    });
+    let bound = Duration::from_secs(2);
+    tokio::time::timeout(bound, gone).await.unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_path_without_a_route_is_not_found() {
     let platform = Platform::start(&TWO_SHARDS).await;
