--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -8,6 +8,7 @@
 
 use camphorhold_testutils::platform::CONFIGURATION_KEY;
 use camphorhold_testutils::platform::configuration;
+use camphorhold_testutils::platform::evacuation_key;
 use camphorhold_testutils::platform::leaf::Behaviour;
 use camphorhold_testutils::platform::leaf::Leaf;
 use camphorhold_testutils::platform::process::Place;
@@ -257,7 +258,7 @@
                 if self.evacuating[domain].replace(true) {
                     return Ok(());
                 }
-                let key = format!("op/evacuate/{}", DOMAINS[domain]);
+                let key = evacuation_key(DOMAINS[domain]);
                 self.store.put(&key, &json!({}));
                 let from = now();
                 tokio::time::sleep(length + EVACUATION).await;
--- a/testutils/src/platform/mod.rs
+++ b/testutils/src/platform/mod.rs
@@ -10,6 +10,12 @@
 /// The key of the configuration in the store.
 pub const CONFIGURATION_KEY: &str = "op/config";
 
+/// Returns the key of the order that nothing be sent to the leafs of a failure domain.
+#[must_use]
+pub fn evacuation_key(domain: &str) -> String {
+    format!("op/evacuate/{domain}")
+}
+
 /// Returns a configuration for the host `q.example` with the routes `/all/`, to one leaf of each
 /// service, and `/one/` and `/once/`, to the first service. Requests of `/once/` run at most once.
 #[must_use]
