--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -153,10 +153,10 @@
         tokio::pin!(watch);
         let mut untold = false;
         // The first probe goes out with the watch: what loses one of them loses the other too.
-        let mut probe_at = tokio::time::Instant::now();
+        let mut probe_at = self.shared.now();
         loop {
             let probe = async {
-                tokio::time::sleep_until(probe_at).await;
+                tokio::time::sleep_until(probe_at.into()).await;
                 self.probes.probe(&self.probe_key).await
             };
             tokio::select! {
@@ -172,7 +172,7 @@
                     }
                     untold = newer.is_some();
                     let settling_time = self.shared.bounds.get().settling_time;
-                    probe_at = tokio::time::Instant::now() + settling_time.mul_f64(PROBE_SHARE);
+                    probe_at = self.shared.now() + settling_time.mul_f64(PROBE_SHARE);
                 }
             }
         }
