transport: bound the memory of answers that are being read

Cause: each answer could hold 8 MB, so some dozen leafs that send bytes without end fill the memory of an instance with 160 MB. The head of an answer could hold 400 KB.

Counter camphorhold_oversized_answers_total, and a reason of its own in the log line of the request. A failed accept of the metrics listener is repeated after a pause.

Tests: eight kinds of floods by one leaf and by fifty.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -12,6 +12,7 @@
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::state::plan::CallSemantics;
 use camphorhold::state::plan::Route;
+use camphorhold::state::plan::Target;
 use camphorhold::transport::http;
 use camphorhold::transport::http::Connection;
 use camphorhold::transport::http::TcpOptions;
@@ -30,9 +31,14 @@
 
 use crate::shared::Shared;
 
-/// The longest accepted body of a leaf's answer. A longer one fails the call.
+/// The longest accepted body of a leaf's answer to a request for one service. A longer one fails the
+/// call.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// The longest accepted body of a part of a query: some thousand records, of which the answer holds
+/// the greatest few.
+const MAX_PART_BYTES: usize = 256 << 10;
+
 /// Request bodies up to this size are sent in one write, so the leaf cannot answer before the whole
 /// body is sent.
 const SMALL_BODY_BYTES: usize = 4 << 10;
@@ -116,9 +122,12 @@
     /// No connection was established, or the connection closed before the request was sent.
     #[error("not connected")]
     NotConnected,
-    /// The request was sent, but the connection broke or the answer exceeded the size limit.
+    /// The request was sent, but the connection broke.
     #[error("connection lost")]
     ConnectionLost,
+    /// The answer, or all answers that are being read together, exceeded the size limit.
+    #[error("answer too long")]
+    TooLong,
 }
 
 /// Reports the result of a call to the fleet. A call whose future is dropped counts as abandoned.
@@ -179,7 +188,11 @@
                 http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_) => {
                     CallError::NotConnected
                 }
-                http::Error::Lost(_) | http::Error::TooLong => CallError::ConnectionLost,
+                http::Error::Lost(_) => CallError::ConnectionLost,
+                http::Error::TooLong => {
+                    metrics::counter!("camphorhold_oversized_answers_total").increment(1);
+                    CallError::TooLong
+                }
             };
             (Some(call_error), None)
         }
@@ -188,7 +201,7 @@
         None => (Outcome::Answered, CallResult::Answered(latency)),
         Some(CallError::Refused) => (Outcome::NotRun, CallResult::Refused),
         Some(CallError::Replaced) => (Outcome::NotRun, CallResult::Replaced),
-        Some(CallError::WrongRequest | CallError::Status(_)) => {
+        Some(CallError::WrongRequest | CallError::Status(_) | CallError::TooLong) => {
             (Outcome::Failed, CallResult::Failed)
         }
         Some(CallError::NotConnected) => (Outcome::Unsent, CallResult::Disconnected),
@@ -247,7 +260,13 @@
     let left = call.deadline.saturating_duration_since(shared.now());
     let request = build_request(forwarded, &id, left);
     forwarded.sent.set(true);
-    let answer = connection.exchange(request, MAX_ANSWER_BYTES).await?;
+    let limit = match forwarded.route.target {
+        Target::Shards(_) => MAX_PART_BYTES,
+        Target::Service(_) | Target::Split(_) => MAX_ANSWER_BYTES,
+    };
+    let answer = connection
+        .exchange_within(request, limit, &shared.read_budget)
+        .await?;
     if !call.replaces_handover {
         return_to_pool(shared, forwarded, leaf, connection, &answer);
     }
--- a/instance/src/exposition.rs
+++ b/instance/src/exposition.rs
@@ -43,8 +43,13 @@
         }
     };
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "cannot accept a connection for metrics; trying again after a pause");
+                tokio::time::sleep(server::ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let handle = handle.clone();
         tokio::task::spawn_local(async move {
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -61,8 +61,9 @@
 /// that start only now.
 const COORDINATOR_SLACK: Duration = Duration::from_millis(25);
 
-/// The longest accepted body of a merged answer. A longer one fails the handover.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// The longest accepted body of a merged answer. A longer one fails the handover. It holds at most
+/// as many records as the answer to the caller.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
 
 const TCP_OPTIONS: TcpOptions = TcpOptions {
     // A round trip within a region takes a few milliseconds, and the query has to run in the time
@@ -349,7 +350,9 @@
     headers.insert(header::DEADLINE_MS, HeaderValue::from(left));
     *request.headers_mut() = headers;
     forwarded.sent.set(true);
-    let answer = connection.exchange(request, MAX_ANSWER_BYTES).await?;
+    let answer = connection
+        .exchange_within(request, MAX_ANSWER_BYTES, &shared.read_budget)
+        .await?;
     if connection.is_usable() {
         shared
             .peer_pool
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -60,7 +60,7 @@
 
 /// Pause after a failed accept. Without it the loop would repeat the call at once and use the whole
 /// core while the failure lasts.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// The state of a connection that decides when it is closed.
 #[derive(Debug)]
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -19,6 +19,7 @@
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Route;
 use camphorhold::state::time::Clock;
+use camphorhold::transport::read_budget::ReadBudget;
 use camphorhold_platform::settings::Bounds;
 use camphorhold_platform::settings::Settings;
 use rand::Rng;
@@ -47,6 +48,10 @@
 /// there are no latency measurements. The second leaf needs the rest of the objective.
 const LATEST_HEDGE_SHARE: f64 = 0.4;
 
+/// The part of the instance's memory for answers that are being read, as a divisor. Proper answers
+/// need a few MB at a time.
+const READ_MEMORY_DIVISOR: usize = 8;
+
 /// Measurements of the requests of one route.
 #[derive(Debug)]
 struct RouteProfile {
@@ -88,6 +93,8 @@
     pub concurrency_limits: RefCell<ConcurrencyLimits>,
     /// The registered instances, this one included.
     pub instances: RefCell<Instances>,
+    /// The memory for answers of leafs and instances that are being read.
+    pub read_budget: ReadBudget,
     /// Idle connections to leafs.
     pub leaf_pool: Pool<LeafKey>,
     /// Idle connections to other instances.
@@ -117,6 +124,7 @@
         fleet.set_instances(INITIAL_INSTANCES, INITIAL_INSTANCES);
         let instances = Instances::new(settings.name.clone(), settings.domain.clone());
         let retry_budgets = RetryBudgets::new(settings.bounds.retries, INITIAL_INSTANCES, now);
+        let read_bytes = settings.memory_bytes / READ_MEMORY_DIVISOR;
         Self {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -127,6 +135,7 @@
             retry_budgets: RefCell::new(retry_budgets),
             concurrency_limits: RefCell::default(),
             instances: RefCell::new(instances),
+            read_budget: ReadBudget::new(read_bytes),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
             last_store_answer: Cell::new(now),
--- /dev/null
+++ b/instance/tests/hostile.rs
@@ -0,0 +1,122 @@
+//! Tests of instances whose leafs and callers send bytes that belong to no message. The instances
+//! run as processes against the stand-ins of the platform.
+
+mod support;
+
+use bytes::Bytes;
+use camphorhold_testutils::platform::leaf::Behaviour;
+use camphorhold_testutils::platform::leaf::Flood;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use hyper::Response;
+use hyper::StatusCode;
+use support::Instance;
+use support::Platform;
+
+/// The memory of a small instance of the platform, in bytes.
+const SMALL_MEMORY: usize = 160 << 20;
+
+fn stamp(answer: &Response<Bytes>) -> &str {
+    let value = answer.headers().get("x-camphorhold-server-stamp");
+    value.map_or("", |value| value.to_str().unwrap_or_default())
+}
+
+/// Guards against a request that fails, or waits for its deadline, because a leaf sends bytes
+/// without end. It must be answered by the other leaf.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_one_leaf_is_answered_by_the_other() {
+    for flood in Flood::ALL {
+        let platform = Platform::start(&[("s1", "a"), ("s1", "b")]).await;
+        let instance = Instance::start(&platform, "1", "a").await;
+        platform.leafs[0].set_behaviour(Behaviour::Flood(flood));
+        for number in 0..3 {
+            let id = format!("r{number}");
+            let answer = instance.send(&id, "/one/x").await.unwrap();
+            assert_eq!(answer.status(), StatusCode::OK, "{flood:?}");
+            assert!(stamp(&answer).ends_with(&id), "{flood:?}: {answer:?}");
+        }
+    }
+}
+
+/// Guards against an instance that runs out of memory because many leafs send bytes without end at
+/// the same time, and against innocent requests that fail meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_stays_bounded_while_fifty_leafs_flood() {
+    let shards: Vec<String> = (0..50).map(|shard| format!("s{shard}")).collect();
+    let mut leafs: Vec<(&str, &str)> = vec![("proper", "a")];
+    leafs.extend(shards.iter().map(|shard| (&**shard, "a")));
+    let platform = Platform::start(&leafs).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    for flood in Flood::ALL {
+        for leaf in &platform.leafs[1..] {
+            leaf.set_behaviour(Behaviour::Flood(flood));
+        }
+        let mut queries: FuturesUnordered<_> =
+            (0..4).map(|_| instance.send("flooded", "/all/x")).collect();
+        for number in 0..10 {
+            let id = format!("r{number}");
+            let answer = instance.send(&id, "/one/x").await.unwrap();
+            assert_eq!(answer.status(), StatusCode::OK, "{flood:?}");
+        }
+        while let Some(answer) = queries.next().await {
+            answer.unwrap();
+        }
+    }
+    let peak = instance.peak_memory();
+    assert!(peak < SMALL_MEMORY / 2, "{peak} bytes");
+}
+
+/// Guards against requests whose end is read differently by two servers: the rest of one would be
+/// taken for another request. A leaf gets one length, that of the body as it was read here.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_with_two_lengths_reaches_leafs_with_one() {
+    let platform = Platform::start(&[("s1", "a")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let cases = [
+        ("Content-Length: 30\r\nTransfer-Encoding: chunked", "200"),
+        ("Transfer-Encoding: chunked\r\nContent-Length: 30", "200"),
+        ("Content-Length: 3\r\nContent-Length: 4", "400"),
+        ("Transfer-Encoding: identity", "400"),
+    ];
+    for (lengths, status) in cases {
+        let request = format!(
+            "POST /one/x HTTP/1.1\r\nHost: q.example\r\nConnection: close\r\n\
+             X-Camphorhold-Request-Id: r1\r\n{lengths}\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+        );
+        let answer = instance.send_bytes(request.as_bytes()).await;
+        let answer = String::from_utf8_lossy(&answer);
+        let line = format!("HTTP/1.1 {status} ");
+        assert!(answer.starts_with(&line), "{lengths}: {answer}");
+    }
+    let runs = platform.leafs[0].runs();
+    let lengths: Vec<usize> = runs.iter().map(|run| run.body_bytes).collect();
+    assert_eq!(lengths, [3, 3]);
+}
+
+/// Guards against a process that ends, or other callers that are not served, because callers send
+/// bytes that are no request.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_that_are_no_request_harm_no_other_caller() {
+    let platform = Platform::start(&[("s1", "a")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let endless_line = [
+        &b"GET /one/x HTTP/1.1\r\nX-Filler: "[..],
+        &vec![b'x'; 1 << 20],
+    ]
+    .concat();
+    let many_lines = [
+        &b"GET /one/x HTTP/1.1\r\n"[..],
+        &b"X-Filler: x\r\n".repeat(1 << 16),
+    ]
+    .concat();
+    let huge_chunk =
+        b"POST /one/x HTTP/1.1\r\nHost: q.example\r\nTransfer-Encoding: chunked\r\n\r\n\
+        1000000000000000\r\n";
+    let long_body = [&huge_chunk[..], &vec![b'x'; 1 << 20]].concat();
+    for bytes in [&endless_line, &many_lines, &long_body, &vec![0; 4_096]] {
+        let answer = instance.send_bytes(bytes).await;
+        assert!(!answer.starts_with(b"HTTP/1.1 200"));
+        let answer = instance.send("r1", "/one/x").await.unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+}
--- a/lib/src/transport/http.rs
+++ b/lib/src/transport/http.rs
@@ -19,10 +19,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -31,6 +30,12 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use super::read_budget::ReadBudget;
+
+/// The longest head of an answer. The longest proper one is that of a merged answer, with a
+/// signature of some 40 bytes for each of a thousand shards.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// TCP options and time-outs by which a connection detects that its peer does not respond.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TcpOptions {
@@ -58,11 +63,22 @@
     /// The request may have been sent, and the connection broke or the answer could not be read.
     #[error("connection lost before the answer was complete: {0}")]
     Lost(#[source] hyper::Error),
-    /// The body of the answer is longer than permitted.
+    /// The head or the body of the answer is longer than permitted, or all answers in progress
+    /// together are.
     #[error("the answer is longer than permitted")]
     TooLong,
 }
 
+impl Error {
+    fn from_read(error: hyper::Error) -> Self {
+        if error.is_parse_too_large() {
+            Self::TooLong
+        } else {
+            Self::Lost(error)
+        }
+    }
+}
+
 type Driver = Pin<Box<dyn Future<Output = hyper::Result<()>>>>;
 
 /// A connection to a server, which carries one request at a time.
@@ -91,7 +107,9 @@
             .map_err(|_| Error::ConnectTimeout)?
             .map_err(Error::Connect)?;
         configure(&stream, options).map_err(Error::Connect)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(Error::Unsent)?;
         Ok(Self {
@@ -118,6 +136,23 @@
         &mut self,
         request: Request<Full<Bytes>>,
         limit: usize,
+    ) -> Result<Response<Bytes>, Error> {
+        self.exchange_within(request, limit, &ReadBudget::new(limit))
+            .await
+    }
+
+    /// Sends a request and reads the whole answer, as [`Self::exchange`] does. The body shares
+    /// `budget` with the other answers that are being read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no complete answer. [`Error::Unsent`] means that no byte of the
+    /// request was sent.
+    pub async fn exchange_within(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+        budget: &ReadBudget,
     ) -> Result<Response<Bytes>, Error> {
         let sender = &mut self.sender;
         let mut answer = pin!(async move {
@@ -128,20 +163,12 @@
                     if error.take_message().is_some() {
                         Error::Unsent(error.into_error())
                     } else {
-                        Error::Lost(error.into_error())
+                        Error::from_read(error.into_error())
                     }
                 })?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, limit).collect().await.map_err(|error| {
-                if error.is::<LengthLimitError>() {
-                    return Error::TooLong;
-                }
-                match error.downcast::<hyper::Error>() {
-                    Ok(error) => Error::Lost(*error),
-                    Err(_) => Error::TooLong,
-                }
-            })?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            let body = read_body(body, limit, budget).await?;
+            Ok(Response::from_parts(head, body))
         });
         let driver = &mut self.driver;
         let mut driver_ended = false;
@@ -167,6 +194,34 @@
     }
 }
 
+/// Reads a body of at most `limit` bytes, with as many of `budget` as are left for it.
+async fn read_body(mut body: Incoming, limit: usize, budget: &ReadBudget) -> Result<Bytes, Error> {
+    let reservation = budget.start();
+    let mut first = Bytes::new();
+    let mut rest = Vec::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(chunk) = frame.map_err(Error::from_read)?.into_data() else {
+            // Trailers are not used.
+            continue;
+        };
+        length += chunk.len();
+        if length > limit || reservation.take(chunk.len()).is_err() {
+            return Err(Error::TooLong);
+        }
+        // Most answers arrive as one chunk, which needs no copy.
+        if first.is_empty() && rest.is_empty() {
+            first = chunk;
+            continue;
+        }
+        if rest.is_empty() {
+            rest.extend_from_slice(&std::mem::take(&mut first));
+        }
+        rest.extend_from_slice(&chunk);
+    }
+    Ok(if rest.is_empty() { first } else { rest.into() })
+}
+
 fn configure(stream: &TcpStream, options: TcpOptions) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -3,4 +3,5 @@
 pub mod http;
 pub mod leaf;
 pub mod peer;
+pub mod read_budget;
 pub mod store;
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -35,6 +35,8 @@
     Repeat,
     /// It runs the request and closes the connection 4 bytes before the end of the answer.
     Truncate,
+    /// It runs the request and sends bytes without end.
+    Flood(Flood),
     /// It answers 503 with `X-Camphorhold-Not-Executed` and does not run the request.
     Refuse,
     /// It answers 421 with the id of another leaf, as if that leaf had taken over its address, and
@@ -42,6 +44,86 @@
     Misdirect,
 }
 
+/// Bytes that are no answer and have no end. A leaf sends them until the caller closes the
+/// connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flood {
+    /// A header line without an end.
+    Head,
+    /// Header lines without an end of the head.
+    HeaderLines,
+    /// A body with a length of a terabyte.
+    Length,
+    /// A body that ends with the connection.
+    UntilClose,
+    /// A body in chunks.
+    Chunks,
+    /// A body in one chunk of 2^60 bytes.
+    HugeChunk,
+    /// A body of which one byte arrives every 50 ms.
+    Drip,
+    /// A complete answer, followed by further bytes.
+    AfterAnswer,
+}
+
+impl Flood {
+    /// All kinds.
+    pub const ALL: [Self; 8] = [
+        Self::Head,
+        Self::HeaderLines,
+        Self::Length,
+        Self::UntilClose,
+        Self::Chunks,
+        Self::HugeChunk,
+        Self::Drip,
+        Self::AfterAnswer,
+    ];
+
+    /// The pause between two bytes of [`Flood::Drip`].
+    const DRIP_PAUSE: Duration = Duration::from_millis(50);
+
+    /// Returns what is sent once, and what is sent again and again after it.
+    fn bytes(self, answer: &[u8]) -> (Vec<u8>, Vec<u8>) {
+        let stamped = "HTTP/1.1 200 OK\r\nX-Camphorhold-Server-Stamp: flood\r\n";
+        let filler = vec![b'x'; 64 << 10];
+        match self {
+            Self::Head => (format!("{stamped}X-Filler: ").into_bytes(), filler),
+            Self::HeaderLines => (stamped.into(), b"X-Filler: x\r\n".repeat(1_000)),
+            Self::Length | Self::Drip => (
+                format!("{stamped}Content-Length: 1099511627776\r\n\r\n").into_bytes(),
+                filler,
+            ),
+            Self::UntilClose => (
+                format!("{stamped}Connection: close\r\n\r\n").into_bytes(),
+                filler,
+            ),
+            Self::Chunks => (
+                format!("{stamped}Transfer-Encoding: chunked\r\n\r\n").into_bytes(),
+                [&b"10000\r\n"[..], &filler, b"\r\n"].concat(),
+            ),
+            Self::HugeChunk => (
+                format!("{stamped}Transfer-Encoding: chunked\r\n\r\n1000000000000000\r\n")
+                    .into_bytes(),
+                filler,
+            ),
+            Self::AfterAnswer => (answer.to_vec(), filler),
+        }
+    }
+
+    async fn send(self, stream: &mut TcpStream, answer: &[u8]) -> std::io::Result<()> {
+        let (first, again) = self.bytes(answer);
+        stream.write_all(&first).await?;
+        loop {
+            if self == Self::Drip {
+                tokio::time::sleep(Self::DRIP_PAUSE).await;
+                stream.write_all(b"x").await?;
+            } else {
+                stream.write_all(&again).await?;
+            }
+        }
+    }
+}
+
 /// A request that a leaf has started to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -53,6 +135,8 @@
     /// The value of `X-Camphorhold-Expect-Instance`: the id of the leaf that the sender expects at
     /// this address.
     pub expected_leaf: String,
+    /// The length of its body, as `Content-Length` states it.
+    pub body_bytes: usize,
     /// When its body had been received.
     pub at: Instant,
 }
@@ -214,6 +298,7 @@
             Behaviour::Hang => drop(read_request(&mut stream).await?),
             Behaviour::Lose => return Ok(()),
             Behaviour::Repeat => stream.write_all(&[&answer[..], &answer].concat()).await?,
+            Behaviour::Flood(flood) => return flood.send(&mut stream, &answer).await,
             Behaviour::Truncate => return stream.write_all(&answer[..answer.len() - 4]).await,
             Behaviour::Refuse => {
                 let refusal = "HTTP/1.1 503 Service Unavailable\r\n\
@@ -252,6 +337,7 @@
         request: value("x-camphorhold-request-id").into(),
         deadline_ms: value("x-camphorhold-deadline-ms").parse().unwrap_or(0),
         expected_leaf: value("x-camphorhold-expect-instance").into(),
+        body_bytes: length,
         at: Instant::now(),
     }))
 }
