serving: instances report silent ones to each other

Ruled out: choosing only leafs that are expected to answer in time (service time, queue ahead of a call, time-outs as samples).

Change: the answer to a handover names the instances that have just failed the sender's own handovers; two reports within 0.7 s count like a failure of one's own. Reports of reports are not passed on, so a report ends with its cause. Handovers of a request without an answer are dropped, so that their work stops. A coordinator is late after 0.55 of the time (was 0.7).

--- a/instance/src/answer.rs
+++ b/instance/src/answer.rs
@@ -24,6 +24,7 @@
 use crate::merge;
 use crate::request::Origin;
 use crate::request::end_to_end;
+use crate::shared::Shared;
 
 /// The pause stated in `Retry-After`, as a share of the route's latency objective.
 const RETRY_AFTER_SHARE: f64 = 0.1;
@@ -35,6 +36,7 @@
     /// Returns the response to a handover, with a header that lists the shards answered in it.
     pub fn respond_to_instance(
         self,
+        shared: &Shared,
         plan: &Plan,
         forwarded: &ForwardedRequest,
         origin: Origin,
@@ -47,9 +49,7 @@
             .filter_map(|position| handover_request.shards.get(*position).copied())
             .collect();
         let mut response = self.respond(plan, forwarded, origin);
-        if let Some(answered) = handover::answered_header(&answered) {
-            response.headers_mut().insert(handover::HEADER, answered);
-        }
+        handover::add_answer_headers(shared, response.headers_mut(), &answered);
         response
     }
 
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -34,7 +34,7 @@
 const OWNER_LATE_SHARE: f64 = 0.6;
 
 /// The same share for an instance in another failure domain, which waits for its owners first.
-const FOREIGN_LATE_SHARE: f64 = 0.7;
+const FOREIGN_LATE_SHARE: f64 = 0.55;
 
 /// The most call errors in the log line of a request. A query may have hundreds.
 const MAX_LOGGED_ERRORS: usize = 6;
@@ -134,7 +134,8 @@
             .await;
         });
     }
-    if !handovers.is_empty() {
+    // Without an answer, the handovers are dropped, so that the other instances stop their work.
+    if !handovers.is_empty() && matches!(verdict, Verdict::Answer(_)) {
         // Ignores the answers: the handovers run on until they are due, because only then it shows
         // whether an instance is late with one shard or does not respond at all.
         tokio::task::spawn_local(handovers.for_each(|_| std::future::ready(())));
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -51,6 +51,9 @@
 /// requests of a release that compares versions only.
 pub const DIGEST_HEADER: HeaderName = HeaderName::from_static("camphorhold-handover-digest");
 
+/// In an answer, the names of the instances that have just failed the sender's own handovers.
+const FAILED_HEADER: HeaderName = HeaderName::from_static("camphorhold-failed-instances");
+
 const COORDINATOR: HeaderValue = HeaderValue::from_static("coordinator");
 const OWNER: HeaderValue = HeaderValue::from_static("owner");
 
@@ -168,9 +171,30 @@
     }
 }
 
-/// Returns the value of [`HEADER`] in an answer: the positions of the answered shards.
-pub fn answered_header(shards: &[usize]) -> Option<HeaderValue> {
-    HeaderValue::from_str(&join(shards)).ok()
+/// Adds the headers of an answer to another instance: the positions of the answered shards, and the
+/// instances that have failed handovers.
+pub fn add_answer_headers(shared: &Shared, headers: &mut HeaderMap, answered: &[usize]) {
+    if let Ok(answered) = HeaderValue::from_str(&join(answered)) {
+        headers.insert(HEADER, answered);
+    }
+    let instances = shared.instances.borrow();
+    let failed: Vec<&str> = instances.failed(shared.now()).collect();
+    if !failed.is_empty()
+        && let Ok(failed) = HeaderValue::from_str(&failed.join(","))
+    {
+        headers.insert(FAILED_HEADER, failed);
+    }
+}
+
+fn record_reports(shared: &Shared, reporter: &str, answer: &Response<Bytes>) {
+    let Some(Ok(failed)) = answer.headers().get(FAILED_HEADER).map(HeaderValue::to_str) else {
+        return;
+    };
+    let now = shared.now();
+    let mut instances = shared.instances.borrow_mut();
+    for failed in failed.split(',') {
+        instances.on_report(reporter, failed, now);
+    }
 }
 
 /// How a request is named towards other instances.
@@ -277,6 +301,9 @@
             (HandoverOutcome::Failed, Outcome::Failed, None)
         }
     };
+    if let Some(answer) = &answer {
+        record_reports(&shared, &group.name, answer);
+    }
     in_flight.outcome = Some(outcome);
     metrics::counter!("camphorhold_handovers_total", "outcome" => outcome_label(outcome))
         .increment(1);
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -216,7 +216,7 @@
         HandoverRole::Coordinator => assign_to_owners(&shared, &mut request),
     };
     let end = gather::run(&shared, &forwarded, request, query, groups).await;
-    end.respond_to_instance(&plan, &forwarded, origin, &handover_request)
+    end.respond_to_instance(&shared, &plan, &forwarded, origin, &handover_request)
 }
 
 fn find_route(plan: &Plan, request: &Request<Incoming>) -> Option<Arc<Route>> {
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -14,6 +14,11 @@
 //! among the owners there: one exchange per query crosses the domain boundary, whatever the number
 //! of shards.
 
+//!
+//! An instance with little traffic would notice only by lost queries that another one is silent.
+//! Therefore the answer to a handover names the instances that have just failed the answering one,
+//! and two such reports have the effect of a failure of one's own.
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -40,8 +45,13 @@
 /// each handed-over shard. When all instances are slow, further calls would slow them down more.
 const HEDGES_PER_SHARD: f32 = 0.03;
 
-/// The most shards that an instance saves up for hedges of handovers: the group of a coordinator.
-const MAX_HEDGE_CREDIT: f32 = 40.0;
+/// The most shards that an instance saves up for hedges of handovers: the groups of three
+/// coordinators, for a failure domain that is cut off.
+const MAX_HEDGE_CREDIT: f32 = 120.0;
+
+/// The same for an instance that has just started. All instances may start at the same time, and
+/// are slow while they open their connections.
+const INITIAL_HEDGE_CREDIT: f32 = 20.0;
 
 /// The processor time that an instance gets, in cores.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -63,6 +73,16 @@
     }
 }
 
+/// How long a report that an instance has failed a handover counts. Those that still have it paused
+/// repeat the report with their next answers.
+const REPORT_LIFETIME: Duration = Duration::from_millis(700);
+
+/// How many instances have to report a failure. A single one may itself be cut off or overloaded.
+const MIN_REPORTERS: usize = 2;
+
+/// The most instances that one answer reports.
+const MAX_REPORTED: usize = 32;
+
 /// The failure domain, the peer address and the capacity of an instance, as it registered them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Location {
@@ -120,11 +140,22 @@
     in_flight: usize,
     failures: u32,
     paused_until: Option<Instant>,
+    // The hashes of the instances that reported a failure, and when.
+    reports: Vec<(u64, Instant)>,
 }
 
 impl Instance {
     fn is_open(&self, now: Instant) -> bool {
-        self.removed_at.is_none() && self.paused_until.is_none_or(|until| now >= until)
+        self.removed_at.is_none() && !self.is_paused(now) && !self.is_reported(now)
+    }
+
+    fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
+    fn is_reported(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < REPORT_LIFETIME;
+        self.reports.iter().filter(|(_, at)| is_recent(*at)).count() >= MIN_REPORTERS
     }
 }
 
@@ -172,7 +203,7 @@
             own_name,
             own_domain,
             by_name: HashMap::new(),
-            hedge_credit: MAX_HEDGE_CREDIT / 2.0,
+            hedge_credit: INITIAL_HEDGE_CREDIT,
         }
     }
 
@@ -186,6 +217,7 @@
             in_flight: 0,
             failures: 0,
             paused_until: None,
+            reports: Vec::new(),
         };
         self.by_name.insert(name.into(), instance);
     }
@@ -467,6 +499,27 @@
         }
     }
 
+    /// Returns the names of the instances that have failed handovers of this one and are not asked
+    /// for now. What others have reported is left out, so that a report ends with its cause.
+    pub fn failed(&self, now: Instant) -> impl Iterator<Item = &str> {
+        self.by_name
+            .iter()
+            .filter(move |(_, instance)| instance.failures > 0 && instance.is_paused(now))
+            .map(|(name, _)| &**name)
+            .take(MAX_REPORTED)
+    }
+
+    /// Records the report of the instance `reporter` that another one has failed its handovers.
+    pub fn on_report(&mut self, reporter: &str, failed: &str, now: Instant) {
+        if let Some(instance) = self.by_name.get_mut(failed) {
+            let reporter = xxh3_64(reporter.as_bytes());
+            instance.reports.retain(|(other, at)| {
+                *other != reporter && now.saturating_duration_since(*at) < REPORT_LIFETIME
+            });
+            instance.reports.push((reporter, now));
+        }
+    }
+
     /// Records the outcome of a handover to an instance, which determines when it gets the next
     /// one.
     pub fn on_end(&mut self, name: &str, outcome: HandoverOutcome, now: Instant) {
@@ -478,6 +531,7 @@
             HandoverOutcome::Answered => {
                 instance.failures = 0;
                 instance.paused_until = None;
+                instance.reports.clear();
             }
             HandoverOutcome::Abandoned => {}
             HandoverOutcome::Refused => instance.paused_until = Some(now + INITIAL_PAUSE),
--- a/lib/tests/serving_parts.rs
+++ b/lib/tests/serving_parts.rs
@@ -342,6 +342,41 @@
     assert!(hedged <= asked / 20, "{hedged} of {asked}");
 }
 
+/// Guards against queries that are lost to instances that others know to be silent. On a day with
+/// frozen machines, an instance with one query in two seconds met each of them by itself. Also
+/// guards against an instance that loses its work by the report of a single one, or for good.
+#[test]
+fn an_instance_that_others_report_gets_no_handovers() {
+    let now = Instant::now();
+    let mut instances = Instances::new("1".into(), "a".into());
+    for name in ["1", "2", "3", "4"] {
+        instances.add(name, Some(location("a")));
+    }
+    let names: Vec<String> = (0..40).map(|shard| format!("s{shard}")).collect();
+    let shards: Vec<(usize, &str)> = names.iter().map(|name| &**name).enumerate().collect();
+    let gets_handovers = |instances: &Instances, now: Instant| {
+        let groups = instances.assign_to_owners(&shards, now);
+        groups.iter().any(|group| &*group.name == "4")
+    };
+    for _ in 0..3 {
+        instances.on_report("2", "4", now);
+    }
+    assert!(gets_handovers(&instances, now));
+    instances.on_report("3", "4", now + ms(100));
+    assert!(!gets_handovers(&instances, now + ms(100)));
+    assert_eq!(instances.failed(now + ms(100)).count(), 0);
+    assert!(gets_handovers(&instances, now + ms(1_000)));
+    instances.on_sent("4", 1);
+    instances.on_end("4", HandoverOutcome::Failed, now + ms(1_000));
+    let failed: Vec<&str> = instances.failed(now + ms(1_100)).collect();
+    assert_eq!(failed, ["4"]);
+    // A refusal is no failure, and a report of an unknown instance has no effect.
+    instances.on_sent("3", 1);
+    instances.on_end("3", HandoverOutcome::Refused, now + ms(1_000));
+    instances.on_report("2", "unknown", now);
+    assert_eq!(instances.failed(now + ms(1_100)).count(), 1);
+}
+
 /// Guards against instances that disagree on the owner of a shard: each of several owners would
 /// call its leafs, with connections that suffice for one. Also guards against a failed instance
 /// that changes the owners of shards that it did not own.
