instance: tests of malformed handovers and of failures reported elsewhere

Cause: three of the failures that operators of similar systems reported had no test of their own here: a restart after a leaf left, an answer that breaks off in chunks or without a length, and a leaf without an entry that is still at work. Malformed messages were tested for settings only.

The stand-in leaf breaks off in chunks and resets.

--- a/instance/tests/owners.rs
+++ b/instance/tests/owners.rs
@@ -3,7 +3,13 @@
 
 mod support;
 
+use std::time::Duration;
+
 use bytes::Bytes;
+use camphorhold::state::plan::CallSemantics;
+use camphorhold::state::plan::Route;
+use camphorhold::state::plan::Scope;
+use camphorhold::state::plan::Target;
 use camphorhold_testutils::platform::leaf::Behaviour;
 use hyper::Response;
 use hyper::StatusCode;
@@ -132,30 +138,103 @@
     }
 }
 
+/// Returns the route of the queries, as the instances have it from the configuration.
+fn route(shards: &[&str]) -> Route {
+    Route {
+        name: "all".into(),
+        host: "q.example".into(),
+        prefix: "/all/".into(),
+        semantics: CallSemantics::Idempotent,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_secs(1),
+        priority: 1,
+        max_leafs: 2,
+        target: Target::Shards(Scope {
+            shards: shards.iter().map(|shard| (*shard).into()).collect(),
+            min_coverage: 0.5,
+            top_k: 2,
+        }),
+    }
+}
+
+fn handover(value: &str, digest: Option<u64>) -> Vec<(&'static str, String)> {
+    let digest = digest.map(|digest| ("camphorhold-handover-digest", format!("{digest:x}")));
+    let value = ("camphorhold-handover", value.into());
+    [value].into_iter().chain(digest).collect()
+}
+
 /// Guards against shards that are called directly while a change of the configuration reaches the
-/// instances one after the other, although the change does not concern the query. On large
-/// deployments such calls overloaded leafs with new connections.
+/// instances one after the other, although the change does not concern the query: on large
+/// deployments such calls overloaded leafs with new connections. Also guards against an answer with
+/// shards of two versions that define the query differently.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_query_is_handed_over_between_versions_that_define_it_alike() {
-    let mut deployment = Deployment::start().await;
-    deployment.answer_in_time().await;
-    for instance in &mut deployment.near {
-        instance.freeze();
+async fn a_handover_is_accepted_between_versions_that_define_the_query_alike() {
+    let deployment = Deployment::start().await;
+    let alike = route(&SHARDS).query_digest();
+    let other = route(&["s1", "s2", "s3", "s5"]).query_digest();
+    let accepted = [
+        ("2;500;0,1,2,3", None),
+        ("9;500;0,1,2,3", alike),
+        ("2;500;0,1,2,3", other),
+    ];
+    for (value, digest) in accepted {
+        let headers = handover(value, digest);
+        let answer = deployment.near[2]
+            .send_as_instance("/all/x", &headers)
+            .await;
+        let answer = answer.expect("an answer");
+        assert_complete(&answer);
+        assert_eq!(header(&answer, "camphorhold-handover"), "0,1,2,3");
     }
-    deployment
-        .platform
-        .configure_with_scarce_connections(3, &SHARDS);
-    let with_version = "camphorhold_config_version";
-    wait_until("the entry instance has the new version", || async {
-        deployment.entry.counter(with_version).await == 3
-    })
-    .await;
-    for instance in &mut deployment.near {
-        instance.thaw();
+    for (value, digest) in [("9;500;0,1,2,3", None), ("9;500;0,1,2,3", other)] {
+        let headers = handover(value, digest);
+        let answer = deployment.near[2]
+            .send_as_instance("/all/x", &headers)
+            .await;
+        assert_eq!(answer.expect("an answer").status(), StatusCode::CONFLICT);
     }
-    let own_calls = deployment.entry.counter(LEAF_CALLS).await;
-    deployment.answer_in_time().await;
-    assert_eq!(deployment.entry.counter(LEAF_CALLS).await, own_calls);
+}
+
+/// Guards against a process that ends, or calls leafs, because of a malformed handover.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_handovers_are_refused() {
+    let deployment = Deployment::start().await;
+    let near = &deployment.near[2];
+    let runs = deployment.platform.runs();
+    let malformed = [
+        "",
+        ";;",
+        "2;500;",
+        "2;500;0,1,1",
+        "2;500;3,2",
+        "2;500;0,4",
+        "2;500;0,18446744073709551615",
+        "2;99999999999999999999;0",
+        "-2;500;0",
+        "2;500;0;1",
+    ];
+    for value in malformed {
+        let answer = near
+            .send_as_instance("/all/x", &handover(value, None))
+            .await;
+        assert_eq!(
+            answer.expect("an answer").status(),
+            StatusCode::CONFLICT,
+            "{value:?}"
+        );
+    }
+    for path in ["/one/x", "/none/x"] {
+        let answer = near
+            .send_as_instance(path, &handover("2;500;0", None))
+            .await;
+        assert_eq!(answer.expect("an answer").status(), StatusCode::CONFLICT);
+    }
+    assert_eq!(deployment.platform.runs(), runs);
+    // A due time in the far future is valid.
+    let longest = handover("2;18446744073709551615;0", None);
+    let answer = near.send_as_instance("/all/x", &longest).await;
+    assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+    assert!(near.is_ready().await);
 }
 
 /// Guards against a shard that counts twice, or is left out, when it answers both to the instance
@@ -165,7 +244,7 @@
     let deployment = Deployment::start().await;
     deployment.answer_in_time().await;
     for leaf in &deployment.platform.leafs {
-        leaf.set_behaviour(Behaviour::Slow(std::time::Duration::from_millis(800)));
+        leaf.set_behaviour(Behaviour::Slow(Duration::from_millis(800)));
     }
     for number in 0..3 {
         let id = format!("r{number}");
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -22,6 +22,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::header::HeaderValue;
 use nix::sys::signal::Signal;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -132,6 +133,22 @@
         exchange(&mut connection, request, path).await
     }
 
+    /// Sends a request with these headers as another instance and returns its answer.
+    pub async fn send_as_instance(
+        &self,
+        path: &str,
+        headers: &[(&'static str, String)],
+    ) -> Result<Response<Bytes>, Error> {
+        let address = self.process.peer_address();
+        let mut connection = Connection::open(address, TCP_OPTIONS).await?;
+        let mut request = request("r1", path);
+        for (name, value) in headers {
+            let value = HeaderValue::from_str(value).unwrap();
+            request.headers_mut().insert(*name, value);
+        }
+        connection.exchange(request, 1 << 20).await
+    }
+
     /// Returns the largest amount of memory that the process has occupied so far, in bytes.
     pub fn peak_memory(&self) -> usize {
         let id = self.process.id().unwrap();
@@ -205,6 +222,13 @@
         self.process.kill().unwrap();
     }
 
+    /// Starts the program again after [`Self::kill`] and waits until it is ready.
+    pub async fn restart(&mut self) {
+        self.process.restart().unwrap();
+        let readiness = self.process.readiness_address();
+        wait_until("the instance is ready", || is_ready(readiness)).await;
+    }
+
     /// Stops the process without ending it, so that it holds its connections and does not respond.
     pub fn freeze(&mut self) {
         self.process.signal(Signal::SIGSTOP).unwrap();
@@ -231,21 +255,24 @@
     env!("CARGO_BIN_EXE_camphorhold-instance")
 }
 
-/// Sends a request with the id `request` and a deadline of 3 s, and returns its answer.
+/// Sends a request with a deadline of 3 s and returns its answer.
 pub async fn exchange(
     connection: &mut Connection,
-    request: &str,
+    id: &str,
     path: &str,
 ) -> Result<Response<Bytes>, Error> {
-    let message = Request::builder()
+    connection.exchange(request(id, path), 1 << 20).await
+}
+
+fn request(id: &str, path: &str) -> Request<Full<Bytes>> {
+    Request::builder()
         .method(Method::GET)
         .uri(path)
         .header("host", "q.example")
-        .header("x-camphorhold-request-id", request)
+        .header("x-camphorhold-request-id", id)
         .header("x-camphorhold-deadline-ms", "3000")
         .body(Full::default())
-        .unwrap();
-    connection.exchange(message, 1 << 20).await
+        .unwrap()
 }
 
 async fn is_ready(address: SocketAddr) -> bool {
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -18,6 +18,9 @@
 
 use crate::server;
 
+/// How long [`Behaviour::Reset`] waits between the bytes that it sends and the reset.
+const RESET_DELAY: Duration = Duration::from_millis(100);
+
 /// How a leaf responds to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -35,6 +38,10 @@
     Repeat,
     /// It runs the request and closes the connection 4 bytes before the end of the answer.
     Truncate,
+    /// It runs the request, and closes the connection before the last chunk of the answer.
+    TruncateChunks,
+    /// It runs the request, and resets the connection in the middle of an answer without a length.
+    Reset,
     /// It runs the request and sends bytes without end.
     Flood(Flood),
     /// It answers 503 with `X-Camphorhold-Not-Executed` and does not run the request.
@@ -251,17 +258,20 @@
     }
 
     fn answer(&self, request: &str) -> Vec<u8> {
-        let mut answer = format!(
-            "HTTP/1.1 200 OK\r\nX-Camphorhold-Request-Id: {request}\r\n\
-             X-Camphorhold-Server-Stamp: {}-{request}\r\nContent-Length: 16\r\n\r\n",
-            self.id
-        )
-        .into_bytes();
+        let mut answer = answer_head(&self.id, request, "Content-Length: 16").into_bytes();
         answer.extend_from_slice(&self.record());
         answer
     }
 }
 
+/// Returns the head of an answer, with a header line that says where its body ends.
+fn answer_head(leaf: &str, request: &str, framing: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Camphorhold-Request-Id: {request}\r\n\
+         X-Camphorhold-Server-Stamp: {leaf}-{request}\r\n{framing}\r\n\r\n"
+    )
+}
+
 async fn serve(listener: TcpListener, leaf: Leaf) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -299,6 +309,19 @@
             Behaviour::Lose => return Ok(()),
             Behaviour::Repeat => stream.write_all(&[&answer[..], &answer].concat()).await?,
             Behaviour::Flood(flood) => return flood.send(&mut stream, &answer).await,
+            Behaviour::TruncateChunks => {
+                let head = answer_head(&leaf.id, &id, "Transfer-Encoding: chunked");
+                let chunk = [&b"10\r\n"[..], &leaf.record(), b"\r\n"].concat();
+                return stream.write_all(&[head.into_bytes(), chunk].concat()).await;
+            }
+            Behaviour::Reset => {
+                let head = answer_head(&leaf.id, &id, "Connection: close");
+                let answer = [head.into_bytes(), leaf.record().to_vec()].concat();
+                stream.write_all(&answer).await?;
+                // Lets the caller read these bytes before the reset discards them.
+                tokio::time::sleep(RESET_DELAY).await;
+                return stream.set_zero_linger();
+            }
             Behaviour::Truncate => return stream.write_all(&answer[..answer.len() - 4]).await,
             Behaviour::Refuse => {
                 let refusal = "HTTP/1.1 503 Service Unavailable\r\n\
--- a/testutils/src/platform/process.rs
+++ b/testutils/src/platform/process.rs
@@ -44,6 +44,7 @@
     config: ProcessConfig,
     caller_address: SocketAddr,
     readiness_address: SocketAddr,
+    peer_address: SocketAddr,
     metrics_address: SocketAddr,
     settings: Value,
     file: PathBuf,
@@ -76,6 +77,7 @@
             config,
             caller_address: callers,
             readiness_address: readiness,
+            peer_address: peers,
             metrics_address: metrics,
             settings,
             file: path,
@@ -137,6 +139,12 @@
         self.readiness_address
     }
 
+    /// Returns the address at which it takes over shards from other instances.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Returns the address that serves `/metrics`.
     #[must_use]
     pub fn metrics_address(&self) -> SocketAddr {
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -134,6 +134,11 @@
         self.change(key, Some(value.to_string().into_bytes()));
     }
 
+    /// Writes an item of any bytes.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.change(key, Some(value.to_vec()));
+    }
+
     /// Removes an item. Watches get the removal also if the item did not exist.
     pub fn remove(&self, key: &str) {
         self.change(key, None);
