--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -83,6 +83,10 @@
 /// The most instances that one answer reports.
 const MAX_REPORTED: usize = 32;
 
+/// The power of an instance's capacity that is its weight as a coordinator. A coordinator's work takes
+/// little of any instance's time, but delays the whole query, so nearly all of it goes to large ones.
+const COORDINATOR_WEIGHT_EXPONENT: i32 = 4;
+
 /// The failure domain, the peer address and the capacity of an instance, as it registered them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Location {
@@ -483,7 +487,7 @@
         self.handover_targets(now)
             .filter(|(_, _, location)| &*location.domain == domain)
             .map(|(name, instance, location)| {
-                let weight = location.capacity.0.powi(2);
+                let weight = location.capacity.0.powi(COORDINATOR_WEIGHT_EXPONENT);
                 (name, location, rank(instance.hash, own_hash, weight))
             })
             .max_by(|(_, _, a), (_, _, b)| a.total_cmp(b))
--- a/lib/tests/serving_parts.rs
+++ b/lib/tests/serving_parts.rs
@@ -295,7 +295,7 @@
 /// Guards against small instances that coordinate as many queries as large ones. Their work delays
 /// whole queries, and with an eighth of a core it takes several times as long.
 #[test]
-fn large_instances_coordinate_most_queries_and_own_more_shards() {
+fn large_instances_coordinate_nearly_all_queries_and_own_more_shards() {
     let now = Instant::now();
     let leafs = [("1", "s1", "b"), ("2", "s2", "b"), ("3", "s3", "b")];
     let fleet = fleet(&leafs, now);
@@ -307,7 +307,7 @@
             is_large(&instances.assign_to_coordinators(&fleet, &shards, now)[0].name)
         })
         .count();
-    assert!((13..=33).contains(&large), "{large} of 39");
+    assert!(large >= 33, "{large} of 39");
     let names: Vec<String> = (0..2_000).map(|shard| format!("s{shard}")).collect();
     let shards: Vec<(usize, &str)> = names.iter().map(|name| &**name).enumerate().collect();
     let groups = many_instances("a7").assign_to_owners(&shards, now);
