instance: a late answer does not pause its instance

Handovers run on after the answer to the caller since then, and one that was answered some milliseconds after its due time counted as failed: live instances were paused, reported to others, and their shards moved to instances without connections to the leafs.

Change: an unused answer is awaited for 150 ms more, on its connection; only silence is a failure.

There is no test of the timing: a process cannot be made late by some milliseconds reliably.

--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 use std::fmt::Display;
 use std::fmt::Formatter;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
@@ -64,6 +65,9 @@
 /// that start only now.
 const COORDINATOR_SLACK: Duration = Duration::from_millis(25);
 
+/// How much longer an answer is awaited to tell a late instance from one that does not respond.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// The longest accepted body of a merged answer. A longer one fails the handover. It holds at most
 /// as many records as the answer to the caller.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
@@ -226,6 +230,26 @@
     outcome: Option<HandoverOutcome>,
 }
 
+impl InFlight {
+    fn end(&mut self, result: &Result<Response<Bytes>, http::Error>) {
+        let outcome = match result {
+            Ok(answer) if answer.status() == StatusCode::CONFLICT => HandoverOutcome::Refused,
+            Ok(answer) => {
+                record_reports(&self.shared, &self.name, answer);
+                HandoverOutcome::Answered
+            }
+            Err(_) => HandoverOutcome::Failed,
+        };
+        self.record(outcome);
+    }
+
+    fn record(&mut self, outcome: HandoverOutcome) {
+        self.outcome = Some(outcome);
+        metrics::counter!("camphorhold_handovers_total", "outcome" => outcome_label(outcome))
+            .increment(1);
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let outcome = self.outcome.unwrap_or(HandoverOutcome::Abandoned);
@@ -270,43 +294,41 @@
     group: ShardGroup,
     mut in_flight: InFlight,
 ) -> End {
-    let shared = Rc::clone(&in_flight.shared);
     let slack = match group.role {
         HandoverRole::Caller | HandoverRole::Owner => ANSWER_SLACK,
         HandoverRole::Coordinator => COORDINATOR_SLACK,
     };
     let timeout = handover_request.due_in + slack;
-    let exchange = exchange(&shared, &forwarded, &handover_request, &group);
-    let result = tokio::time::timeout(timeout, exchange).await;
-    let (outcome, rest_outcome, answer) = match result {
-        Ok(Ok(answer)) => match answer.status() {
-            StatusCode::OK => (HandoverOutcome::Answered, Outcome::Failed, Some(answer)),
-            StatusCode::CONFLICT => (HandoverOutcome::Refused, Outcome::NotRun, None),
-            StatusCode::SERVICE_UNAVAILABLE => (HandoverOutcome::Answered, Outcome::NotRun, None),
-            _ => (HandoverOutcome::Answered, Outcome::Failed, None),
-        },
-        Ok(Err(error)) => {
-            log::info!(request = forwarded.id(), instance = &*in_flight.name, error:% = error; "handover to instance failed");
-            let rest_outcome = match error {
-                http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_) => {
-                    Outcome::Unsent
+    let shared = Rc::clone(&in_flight.shared);
+    let mut exchange = Box::pin(exchange(
+        shared,
+        Rc::clone(&forwarded),
+        handover_request.clone(),
+        group.clone(),
+    ));
+    let (rest_outcome, answer) = match tokio::time::timeout(timeout, &mut exchange).await {
+        Ok(result) => {
+            in_flight.end(&result);
+            match result {
+                Ok(answer) => match answer.status() {
+                    StatusCode::OK => (Outcome::Failed, Some(answer)),
+                    StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
+                        (Outcome::NotRun, None)
+                    }
+                    _ => (Outcome::Failed, None),
+                },
+                Err(error) => {
+                    log::info!(request = forwarded.id(), instance = &*group.name, error:% = error; "handover to instance failed");
+                    (unanswered_outcome(&error), None)
                 }
-                http::Error::Lost(_) | http::Error::TooLong => Outcome::Failed,
-            };
-            (HandoverOutcome::Failed, rest_outcome, None)
+            }
         }
         Err(_) => {
-            log::info!(request = forwarded.id(), instance = &*in_flight.name; "instance did not answer the handover in time; closing its idle connections");
-            shared.peer_pool.close(group.address);
-            (HandoverOutcome::Failed, Outcome::Failed, None)
+            log::info!(request = forwarded.id(), instance = &*group.name; "instance did not answer the handover in time");
+            tokio::task::spawn_local(await_late_answer(exchange, in_flight, group.address));
+            (Outcome::Failed, None)
         }
     };
-    if let Some(answer) = &answer {
-        record_reports(&shared, &group.name, answer);
-    }
-    in_flight.outcome = Some(outcome);
-    metrics::counter!("camphorhold_handovers_total", "outcome" => outcome_label(outcome))
-        .increment(1);
     let answered = answer
         .as_ref()
         .and_then(|answer| answered_shards(answer, &handover_request, &group));
@@ -318,6 +340,31 @@
     }
 }
 
+fn unanswered_outcome(error: &http::Error) -> Outcome {
+    match error {
+        http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_) => {
+            Outcome::Unsent
+        }
+        http::Error::Lost(_) | http::Error::TooLong => Outcome::Failed,
+    }
+}
+
+/// Waits a little longer for an answer that comes too late to be used. An instance that is only late
+/// goes on getting handovers, and the connection to it stays open.
+async fn await_late_answer<F>(exchange: F, mut in_flight: InFlight, address: SocketAddr)
+where
+    F: Future<Output = Result<Response<Bytes>, http::Error>>,
+{
+    if let Ok(result) = tokio::time::timeout(SILENCE_TIMEOUT, exchange).await {
+        in_flight.end(&result);
+    } else {
+        let shared = &in_flight.shared;
+        log::info!(instance = &*in_flight.name; "instance does not answer; closing the idle connections to it");
+        shared.peer_pool.close(address);
+        in_flight.record(HandoverOutcome::Failed);
+    }
+}
+
 fn outcome_label(outcome: HandoverOutcome) -> &'static str {
     match outcome {
         HandoverOutcome::Answered => "answered",
@@ -345,10 +392,10 @@
 }
 
 async fn exchange(
-    shared: &Shared,
-    forwarded: &ForwardedRequest,
-    handover_request: &HandoverRequest,
-    group: &ShardGroup,
+    shared: Rc<Shared>,
+    forwarded: Rc<ForwardedRequest>,
+    handover_request: HandoverRequest,
+    group: ShardGroup,
 ) -> Result<Response<Bytes>, http::Error> {
     let address = group.address;
     let mut connection = match shared.peer_pool.take(address, shared.now()) {
