--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -223,6 +223,33 @@
     pub answer: Option<Response<Bytes>>,
 }
 
+impl End {
+    fn without_answer(group: ShardGroup, rest_outcome: Outcome) -> Self {
+        Self {
+            group,
+            answered: Vec::new(),
+            rest_outcome,
+            answer: None,
+        }
+    }
+
+    /// The shards that the answer does not cover may have run. So may all of them, if it does not
+    /// list valid ones.
+    fn with_answer(
+        group: ShardGroup,
+        answer: Response<Bytes>,
+        handover_request: &HandoverRequest,
+    ) -> Self {
+        let answered = answered_shards(&answer, handover_request, &group);
+        Self {
+            group,
+            answer: answered.is_some().then_some(answer),
+            answered: answered.unwrap_or_default(),
+            rest_outcome: Outcome::Failed,
+        }
+    }
+}
+
 /// Records the end of a handover, even if its future is dropped because its caller has left.
 struct InFlight {
     shared: Rc<Shared>,
@@ -306,37 +333,24 @@
         handover_request.clone(),
         group.clone(),
     ));
-    let (rest_outcome, answer) = match tokio::time::timeout(timeout, &mut exchange).await {
-        Ok(result) => {
-            in_flight.end(&result);
-            match result {
-                Ok(answer) => match answer.status() {
-                    StatusCode::OK => (Outcome::Failed, Some(answer)),
-                    StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
-                        (Outcome::NotRun, None)
-                    }
-                    _ => (Outcome::Failed, None),
-                },
-                Err(error) => {
-                    log::info!(request = forwarded.id(), instance = &*group.name, error:% = error; "handover to instance failed");
-                    (unanswered_outcome(&error), None)
-                }
+    let Ok(result) = tokio::time::timeout(timeout, &mut exchange).await else {
+        log::info!(request = forwarded.id(), instance = &*group.name; "instance did not answer the handover in time");
+        tokio::task::spawn_local(await_late_answer(exchange, in_flight, group.address));
+        return End::without_answer(group, Outcome::Failed);
+    };
+    in_flight.end(&result);
+    match result {
+        Ok(answer) => match answer.status() {
+            StatusCode::OK => End::with_answer(group, answer, &handover_request),
+            StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
+                End::without_answer(group, Outcome::NotRun)
             }
+            _ => End::without_answer(group, Outcome::Failed),
+        },
+        Err(error) => {
+            log::info!(request = forwarded.id(), instance = &*group.name, error:% = error; "handover to instance failed");
+            End::without_answer(group, unanswered_outcome(&error))
         }
-        Err(_) => {
-            log::info!(request = forwarded.id(), instance = &*group.name; "instance did not answer the handover in time");
-            tokio::task::spawn_local(await_late_answer(exchange, in_flight, group.address));
-            (Outcome::Failed, None)
-        }
-    };
-    let answered = answer
-        .as_ref()
-        .and_then(|answer| answered_shards(answer, &handover_request, &group));
-    End {
-        group,
-        answer: answer.filter(|_| answered.is_some()),
-        answered: answered.unwrap_or_default(),
-        rest_outcome,
     }
 }
 
