instance: refuse queries for want of leafs before any call

All instances start again two seconds after an outage of the store began, and find five of 87 shards without any entry: the entries lapsed and are not restored yet. Four may be missing. Until they are back, each query was handed to some 24 owners and their leafs, and then answered with 502, at which callers come back at once (92 of 117 requests failed in seconds 36 to 38).

Ruled out: shards of instances that are not started yet.

Change: if more shards than may be missing have no leaf in use, the query is refused with 503 before any call, with a Retry-After of a second, at most a third of the time that the caller waits. Counter camphorhold_requests_total{outcome="no_leafs"}.

Test: a_query_is_refused_before_any_call_if_too_many_shards_have_no_leaf.

--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -99,6 +99,13 @@
 /// The share of the latency objective after which a request is refused if no call could be sent.
 const REFUSAL_SHARE: f64 = 0.2;
 
+/// When leafs without an entry are expected back, for callers that are refused for want of leafs.
+/// Entries that lapsed in an outage of the store are restored within 2 s of its end.
+const LEAF_RETURN_TIME: Duration = Duration::from_secs(1);
+
+/// The longest pause that callers are asked for, as a share of the time that they wait in all.
+const LONGEST_PAUSE_SHARE: f64 = 1.0 / 3.0;
+
 /// Who sent a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -197,8 +204,8 @@
         return refuse(retry_after(&forwarded.route));
     };
     let Some(handover_request) = handover_request else {
-        if !skip_full_shards(&shared, &forwarded, &mut request) {
-            return refuse(retry_after(&forwarded.route));
+        if let Err(pause) = skip_unavailable_shards(&shared, &forwarded, &mut request, wait) {
+            return refuse(pause);
         }
         let groups = assign_handovers(&shared, &forwarded.route, &mut request);
         let end = gather::run(&shared, &forwarded, request, query, groups).await;
@@ -317,34 +324,53 @@
     })
 }
 
-/// Skips the shards that have reached their concurrency limit. Returns whether enough shards remain
-/// for an answer.
-fn skip_full_shards(
+/// Skips the shards of a caller's query that have no leaf, or have reached their concurrency limit.
+/// If too few shards remain for an answer, no leaf is called: returns the time after which the
+/// caller should try again.
+fn skip_unavailable_shards(
     shared: &Shared,
     forwarded: &ForwardedRequest,
     request: &mut fanout::Request,
-) -> bool {
+    wait: Duration,
+) -> Result<(), Duration> {
     if !request.limits_concurrency {
-        return true;
+        return Ok(());
     }
     let limits = shared.concurrency_limits.borrow();
-    let full: Vec<usize> = (0..request.shards.len())
-        .filter(|shard| !limits.has_room(&request.shards[*shard].service))
-        .collect();
-    for shard in &full {
-        request.shards[*shard].assignment = ShardAssignment::Skipped;
+    let fleet = shared.fleet.borrow();
+    let mut without_leafs = 0;
+    let mut full = 0;
+    for shard in &mut request.shards {
+        if !fleet.has_candidates(&shard.service) {
+            without_leafs += 1;
+        } else if !limits.has_room(&shard.service) {
+            full += 1;
+        } else {
+            continue;
+        }
+        shard.assignment = ShardAssignment::Skipped;
     }
-    let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
-    let coverage = Coverage {
-        answered: number(request.shards.len() - full.len()),
-        in_scope: number(request.shards.len()),
+    let in_scope = request.shards.len();
+    let can_answer = |skipped: usize| {
+        let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let coverage = Coverage {
+            answered: number(in_scope - skipped),
+            in_scope: number(in_scope),
+        };
+        coverage.reaches(request.min_coverage)
     };
-    let enough = coverage.reaches(request.min_coverage);
-    if !enough {
+    let route = &*forwarded.route.name;
+    if !can_answer(without_leafs) {
+        metrics::counter!("camphorhold_requests_total", "outcome" => "no_leafs").increment(1);
+        log::info!(request = forwarded.id(), route = route, without_leafs = without_leafs, in_scope = in_scope; "request refused: too many of its shards have no leaf");
+        return Err(LEAF_RETURN_TIME.min(wait.mul_f64(LONGEST_PAUSE_SHARE)));
+    }
+    if !can_answer(without_leafs + full) {
         metrics::counter!("camphorhold_requests_total", "outcome" => "crowded").increment(1);
-        log::info!(request = forwarded.id(), route = &*forwarded.route.name, full = full.len(), in_scope = request.shards.len(); "request refused: too many of its shards are at their concurrency limit");
+        log::info!(request = forwarded.id(), route = route, full = full, in_scope = in_scope; "request refused: too many of its shards are at their concurrency limit");
+        return Err(retry_after(&forwarded.route));
     }
-    enough
+    Ok(())
 }
 
 /// Selects the shards of a query that are handed over to other instances, and groups them by
--- a/instance/tests/process.rs
+++ b/instance/tests/process.rs
@@ -417,6 +417,41 @@
     assert_eq!(answer.body(), &records);
 }
 
+/// Guards against leafs that work on a query that cannot be answered, and against a caller that is
+/// not told when to come back: after an outage of the store, a restarted instance finds shards
+/// without any leaf until their entries are restored.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_query_is_refused_before_any_call_if_too_many_shards_have_no_leaf() {
+    let shards = [("s1", "a"), ("s2", "a"), ("s3", "a"), ("s4", "a")];
+    let platform = Platform::start(&shards).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let no_leafs = "camphorhold_requests_total{outcome=\"no_leafs\"}";
+    for leaf in &platform.leafs[1..] {
+        platform.store.remove(&leaf.key());
+    }
+    wait_until("a query is refused for want of leafs", || async {
+        let answer = instance.send("r", "/all/x").await.unwrap();
+        assert!(answer.status().is_success() || answer.status().is_server_error());
+        instance.counter(no_leafs).await > 0
+    })
+    .await;
+    let runs = platform.runs();
+    let answer = instance.send("r1", "/all/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let pause: f64 = header(&answer, "retry-after").parse().unwrap();
+    // A caller that waits 3 s can use a pause of at most 1 s.
+    assert!(pause > 0.5 && pause <= 1.0, "{pause}");
+    assert_eq!(platform.runs(), runs);
+    // Half of the shards is enough.
+    let leaf = &platform.leafs[1];
+    platform.store.put(&leaf.key(), &leaf.entry("ready"));
+    wait_until("the query is answered", || async {
+        let answer = instance.send("r2", "/all/x").await.unwrap();
+        answer.status() == StatusCode::OK && header(&answer, "x-camphorhold-missing-parts") == "2"
+    })
+    .await;
+}
+
 /// Guards against requests that are cut off by a shutdown: they arrived while the process closed
 /// its connections, and it ended without an answer to them.
 #[tokio::test(flavor = "multi_thread")]
