--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -19,6 +19,9 @@
 //! Therefore the answer to a handover names the instances that have just failed the answering one,
 //! and two such reports have the effect of a failure of one's own.
 
+mod instance;
+mod rendezvous;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -26,12 +29,13 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+pub use self::instance::Capacity;
+use self::instance::Instance;
+pub use self::instance::Location;
+use self::rendezvous::combine;
+use self::rendezvous::rank;
 use super::fleet::Fleet;
 
-/// How long an instance still counts after its registration is gone. It may still run without a
-/// connection to the store, and a count that is too high only makes the divided limits stricter.
-const COUNTED_AFTER_REMOVAL: Duration = Duration::from_mins(1);
-
 /// The smallest number of shards that is handed over to another failure domain. A handover
 /// transfers about as many bytes as two calls.
 const MIN_SHARDS: usize = 3;
@@ -53,33 +57,6 @@
 /// are slow while they open their connections.
 const INITIAL_HEDGE_CREDIT: f32 = 20.0;
 
-/// The processor time that an instance gets, in cores.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Capacity(f64);
-
-impl Capacity {
-    /// The range of capacities that are told apart, in cores.
-    const SMALLEST: f64 = 0.01;
-    const LARGEST: f64 = 64.0;
-
-    /// Returns the capacity of that many cores, or the nearest one in range. A value that is not a
-    /// number counts as the smallest.
-    #[must_use]
-    pub fn from_cores(cores: f64) -> Self {
-        if cores.is_nan() {
-            return Self(Self::SMALLEST);
-        }
-        Self(cores.clamp(Self::SMALLEST, Self::LARGEST))
-    }
-}
-
-/// How long a report that an instance has failed a handover counts. Those that still have it paused
-/// repeat the report with their next answers.
-const REPORT_LIFETIME: Duration = Duration::from_millis(700);
-
-/// How many instances have to report a failure. A single one may itself be cut off or overloaded.
-const MIN_REPORTERS: usize = 2;
-
 /// The most instances that one answer reports.
 const MAX_REPORTED: usize = 32;
 
@@ -87,17 +64,6 @@
 /// little of any instance's time, but delays the whole query, so nearly all of it goes to large ones.
 const COORDINATOR_WEIGHT_EXPONENT: i32 = 4;
 
-/// The failure domain, the peer address and the capacity of an instance, as it registered them.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Location {
-    /// The failure domain that the instance runs in.
-    pub domain: Box<str>,
-    /// The address at which it accepts queries of other instances.
-    pub address: SocketAddr,
-    /// How much work it can take over.
-    pub capacity: Capacity,
-}
-
 /// How a handover ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HandoverOutcome {
@@ -135,55 +101,6 @@
     pub shards: Vec<usize>,
 }
 
-#[derive(Clone, Debug)]
-struct Instance {
-    location: Option<Location>,
-    hash: u64,
-    // When the registration was removed from the store.
-    removed_at: Option<Instant>,
-    in_flight: usize,
-    failures: u32,
-    paused_until: Option<Instant>,
-    // The hashes of the instances that reported a failure, and when.
-    reports: Vec<(u64, Instant)>,
-}
-
-impl Instance {
-    fn is_open(&self, now: Instant) -> bool {
-        self.removed_at.is_none() && !self.is_paused(now) && !self.is_reported(now)
-    }
-
-    fn is_paused(&self, now: Instant) -> bool {
-        self.paused_until.is_some_and(|until| now < until)
-    }
-
-    fn is_reported(&self, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < REPORT_LIFETIME;
-        self.reports.iter().filter(|(_, at)| is_recent(*at)).count() >= MIN_REPORTERS
-    }
-}
-
-/// Combines two hashes into a third one.
-fn combine(instance: u64, shard: u64) -> u64 {
-    // The finalizer of SplitMix64.
-    let mut mixed = instance ^ shard.rotate_left(32);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
-
-/// Ranks an instance among the candidates for a shard or a caller, given as its hash (weighted
-/// rendezvous hashing). Each candidate has the highest rank for a share of the hashes in proportion
-/// to its `weight`, and if a candidate is lost, only its own share moves to others.
-fn rank(instance: u64, hash: u64, weight: f64) -> f64 {
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "the lowest bits of a hash do not matter"
-    )]
-    let uniform = (combine(instance, hash) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-    -weight / uniform.ln()
-}
-
 #[expect(clippy::cast_precision_loss, reason = "a query has few shards")]
 fn shard_count(shards: usize) -> f32 {
     shards as f32
@@ -227,8 +144,9 @@
     }
 
     /// Records that the registration of an instance is gone. It gets no further handovers, but
-    /// still counts for a minute.
+    /// still counts for a minute. Forgets those that no longer count.
     pub fn remove(&mut self, name: &str, now: Instant) {
+        self.by_name.retain(|_, instance| instance.counts(now));
         if let Some(instance) = self.by_name.get_mut(name) {
             instance.removed_at.get_or_insert(now);
         }
@@ -240,11 +158,7 @@
     pub fn count(&self, now: Instant) -> usize {
         self.by_name
             .values()
-            .filter(|instance| {
-                instance.removed_at.is_none_or(|removed_at| {
-                    now.saturating_duration_since(removed_at) < COUNTED_AFTER_REMOVAL
-                })
-            })
+            .filter(|instance| instance.counts(now))
             .count()
     }
 
@@ -413,7 +327,7 @@
             let hash = xxh3_64(shard.as_bytes());
             let ranked = members.iter().map(|member| {
                 let (_, instance, location) = member;
-                (member, rank(instance.hash, hash, location.capacity.0))
+                (member, rank(instance.hash, hash, location.capacity.cores()))
             });
             let owner = ranked
                 .max_by(|(_, a), (_, b)| a.total_cmp(b))
@@ -487,7 +401,7 @@
         self.handover_targets(now)
             .filter(|(_, _, location)| &*location.domain == domain)
             .map(|(name, instance, location)| {
-                let weight = location.capacity.0.powi(COORDINATOR_WEIGHT_EXPONENT);
+                let weight = location.capacity.cores().powi(COORDINATOR_WEIGHT_EXPONENT);
                 (name, location, rank(instance.hash, own_hash, weight))
             })
             .max_by(|(_, _, a), (_, _, b)| a.total_cmp(b))
@@ -516,11 +430,7 @@
     /// Records the report of the instance `reporter` that another one has failed its handovers.
     pub fn on_report(&mut self, reporter: &str, failed: &str, now: Instant) {
         if let Some(instance) = self.by_name.get_mut(failed) {
-            let reporter = xxh3_64(reporter.as_bytes());
-            instance.reports.retain(|(other, at)| {
-                *other != reporter && now.saturating_duration_since(*at) < REPORT_LIFETIME
-            });
-            instance.reports.push((reporter, now));
+            instance.on_report(xxh3_64(reporter.as_bytes()), now);
         }
     }
 
--- a/lib/tests/serving_parts.rs
+++ b/lib/tests/serving_parts.rs
@@ -129,6 +129,24 @@
     assert_eq!(instances.count(now + ms(60_000)), 1);
 }
 
+/// Guards against limits that are divided among the failure domains of instances that left long ago,
+/// and against state that grows with each instance that was ever registered.
+#[test]
+fn instances_that_left_are_forgotten() {
+    let now = Instant::now();
+    let mut instances = Instances::new("1".into(), "a".into());
+    instances.add("1", Some(location("a")));
+    for number in 0..100 {
+        let name = format!("b{number}");
+        instances.add(&name, Some(location("b")));
+        instances.remove(&name, now);
+    }
+    assert_eq!(instances.domains(), 2);
+    instances.add("2", Some(location("a")));
+    instances.remove("2", now + ms(60_000));
+    assert_eq!(instances.domains(), 1);
+}
+
 fn location(domain: &str) -> Location {
     sized_location(domain, 1.0)
 }
