serving: keep the connections of calls in place of refused handovers

While a new sharding spreads, owners with another version refuse handovers, and each query calls its leafs directly; these calls closed their connections, and the next query opened them again, each for 6 ms of a leaf's slot.

Change: only calls in place of late or failed handovers close their connections.

--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -176,6 +176,9 @@
             }
             Outcome::Failed => progress.sent_calls += 1,
             Outcome::NotRun | Outcome::Unsent => {
+                // The next queries will need the connection too, until the other instance takes
+                // handovers again.
+                progress.handed_over = false;
                 context
                     .retry_budgets
                     .on_request(&progress.service, context.now);
--- a/lib/src/coordination/serving/fanout/message.rs
+++ b/lib/src/coordination/serving/fanout/message.rs
@@ -70,8 +70,9 @@
     pub leaf: LeafKey,
     /// When the leaf has to stop working on the call.
     pub deadline: Instant,
-    /// Whether the call replaces a handover that has failed or is late. Its connection is closed
-    /// afterwards: the instance that regularly calls the leaf needs the leaf's connections.
+    /// Whether the call replaces a handover that has failed or is late, but not one that was refused
+    /// or not sent. Its connection is closed afterwards: the instance that regularly calls the leaf
+    /// needs the leaf's connections.
     pub replaces_handover: bool,
 }
 
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -47,7 +47,7 @@
 
 /// How many shards may be requested a second time because the instance that has them is late, for
 /// each handed-over shard. When all instances are slow, further calls would slow them down more.
-const HEDGES_PER_SHARD: f32 = 0.03;
+const HEDGES_PER_SHARD: f32 = 0.01;
 
 /// The most shards that an instance saves up for hedges of handovers: the groups of three
 /// coordinators, for a failure domain that is cut off.
--- a/lib/tests/serving_fanout.rs
+++ b/lib/tests/serving_fanout.rs
@@ -390,7 +390,9 @@
 }
 
 /// Guards against a missing shard for lack of retry budget: the instance that refused the handover
-/// has called no leaf, so the call counts as a first call.
+/// has called no leaf, so the call counts as a first call. Also guards against a new connection for
+/// each such call: while a change of the shards spreads, every query needs them, and each connection
+/// takes up a slot of the leaf for some milliseconds.
 #[test]
 fn a_shard_of_a_refused_handover_is_called_without_retry_budget() {
     let none = Bound {
@@ -406,6 +408,7 @@
     let mut context = world.context(3);
     fanout.on_handover_outcome(0, Outcome::NotRun, &mut context, &mut sends);
     assert_eq!(sends.len(), 1);
+    assert!(!sends[0].replaces_handover);
 }
 
 /// Guards against a shard that is lost with an instance that does not respond: its leafs must be
