instance: show the limits that leafs name in logs and metrics

Decodes the header, keeps the limit with the leaf, logs when it is set, changed and lifted, and counts calls to limited leafs by purpose (first, retry, hedge). The choice of leafs is unchanged.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -10,9 +10,12 @@
 use camphorhold::coordination::serving::fanout::Outcome;
 use camphorhold::coordination::serving::fleet::CallResult;
 use camphorhold::coordination::serving::fleet::LeafKey;
+use camphorhold::coordination::serving::fleet::LimitChange;
+use camphorhold::coordination::serving::retry_budget::ExtraCall;
 use camphorhold::state::plan::CallSemantics;
 use camphorhold::state::plan::Route;
 use camphorhold::state::plan::Target;
+use camphorhold::state::rate::RequestRate;
 use camphorhold::transport::http;
 use camphorhold::transport::http::Connection;
 use camphorhold::transport::http::TcpOptions;
@@ -159,10 +162,16 @@
     expected: Duration,
 ) -> impl Future<Output = End> + use<> {
     let started = shared.now();
-    shared
-        .fleet
-        .borrow_mut()
-        .on_sent(call.leaf, expected, started);
+    let mut fleet = shared.fleet.borrow_mut();
+    if fleet
+        .get(call.leaf)
+        .is_some_and(|leaf| leaf.limit().is_some())
+    {
+        metrics::counter!("camphorhold_limited_leaf_calls_total", "purpose" => purpose_label(call.extra))
+            .increment(1);
+    }
+    fleet.on_sent(call.leaf, expected, started);
+    drop(fleet);
     let in_flight = InFlight {
         shared: Rc::clone(shared),
         leaf: call.leaf,
@@ -181,7 +190,11 @@
     let result = exchange(&shared, &forwarded, call).await;
     let latency = shared.now().saturating_duration_since(in_flight.started);
     let (call_error, answer) = match result {
-        Ok(answer) => (check_answer(&forwarded, &answer), Some(answer)),
+        Ok(answer) => {
+            let call_error = check_answer(&forwarded, &answer);
+            record_limit(&shared, call.leaf, in_flight.started, call_error, &answer);
+            (call_error, Some(answer))
+        }
         Err(error) => {
             log::debug!(leaf:? = call.leaf, error:% = error; "call to leaf failed");
             let call_error = match error {
@@ -232,6 +245,59 @@
     }
 }
 
+fn purpose_label(extra: Option<ExtraCall>) -> &'static str {
+    match extra {
+        None => "first",
+        Some(ExtraCall::Retry) => "retry",
+        Some(ExtraCall::Hedge) => "hedge",
+    }
+}
+
+/// Records whether a leaf's answer names a limit on requests. Answers of another leaf or to another
+/// request say nothing about it, and only a usable answer shows that there is none.
+fn record_limit(
+    shared: &Shared,
+    leaf: LeafKey,
+    sent: Instant,
+    call_error: Option<CallError>,
+    answer: &Response<Bytes>,
+) {
+    if matches!(
+        call_error,
+        Some(CallError::Replaced | CallError::WrongRequest)
+    ) {
+        return;
+    }
+    let value = answer.headers().get(header::REQUEST_LIMIT);
+    let named = value.map(|value| value.to_str().unwrap_or_default().parse::<RequestRate>());
+    let named = match named {
+        Some(Ok(rate)) => Some(rate),
+        None if call_error.is_none() => None,
+        None => return,
+        Some(Err(error)) => {
+            log::info!(leaf:? = leaf, value:? = value, error:% = error; "invalid limit of a leaf ignored");
+            return;
+        }
+    };
+    let mut fleet = shared.fleet.borrow_mut();
+    let Some(change) = fleet.on_limit(leaf, named, sent, shared.now()) else {
+        return;
+    };
+    let Some(leaf) = fleet.get(leaf) else {
+        return;
+    };
+    let id = &*leaf.entry().id;
+    let service = &*leaf.entry().service;
+    match change {
+        LimitChange::Set(limit) => {
+            log::info!(leaf = id, service = service, limit = limit.per_second(), in_flight = leaf.in_flight(); "the leaf limits its requests");
+        }
+        LimitChange::Lifted(before) => {
+            log::info!(leaf = id, service = service, before = before.per_second(); "the leaf no longer limits its requests");
+        }
+    }
+}
+
 async fn exchange(
     shared: &Rc<Shared>,
     forwarded: &ForwardedRequest,
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -398,7 +398,7 @@
             return;
         };
         if self.take_hedge(shard, context) {
-            self.record_call(shard, leaf, context.now, calls);
+            self.record_call(shard, leaf, Some(ExtraCall::Hedge), context.now, calls);
         }
     }
 
@@ -429,7 +429,8 @@
             return;
         };
         let progress = &self.shards[shard];
-        if progress.sent_calls > 0 {
+        let extra = (progress.sent_calls > 0).then_some(ExtraCall::Retry);
+        if extra.is_some() {
             let service = &progress.service;
             if !context
                 .retry_budgets
@@ -440,13 +441,14 @@
             }
             self.retries += 1;
         }
-        self.record_call(shard, leaf, context.now, calls);
+        self.record_call(shard, leaf, extra, context.now, calls);
     }
 
     fn record_call(
         &mut self,
         shard: usize,
         leaf: LeafKey,
+        extra: Option<ExtraCall>,
         now: Instant,
         calls: &mut Vec<LeafCall>,
     ) {
@@ -465,6 +467,7 @@
             shard,
             leaf,
             deadline,
+            extra,
             replaces_handover: progress.handed_over,
         });
     }
--- a/lib/src/coordination/serving/fanout/message.rs
+++ b/lib/src/coordination/serving/fanout/message.rs
@@ -7,6 +7,7 @@
 use crate::coordination::merge::Coverage;
 use crate::coordination::serving::fleet::LeafKey;
 use crate::coordination::serving::fleet::LeafLimits;
+use crate::coordination::serving::retry_budget::ExtraCall;
 use crate::state::plan::CallSemantics;
 
 /// A shard of a request.
@@ -70,6 +71,8 @@
     pub leaf: LeafKey,
     /// When the leaf has to stop working on the call.
     pub deadline: Instant,
+    /// Why the call is made in addition to an earlier one of the shard; `None` for the first call.
+    pub extra: Option<ExtraCall>,
     /// Whether the call replaces a handover that has failed or is late, but not one that was refused
     /// or not sent. Its connection is closed afterwards: the instance that regularly calls the leaf
     /// needs the leaf's connections.
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -16,7 +16,9 @@
 pub use self::leaf::CallResult;
 pub use self::leaf::Leaf;
 pub use self::leaf::LeafEntry;
+pub use self::leaf::LimitChange;
 pub use self::leaf::Standing;
+use crate::state::rate::RequestRate;
 
 new_key_type! {
     /// Identifies one incarnation of a leaf. A leaf that restarts gets a new key.
@@ -321,6 +323,18 @@
         }
     }
 
+    /// Records the limit on requests from all instances together that a leaf's answer names, or
+    /// `None` if it names none. `sent` is when the call was sent. Returns how the limit has changed.
+    pub fn on_limit(
+        &mut self,
+        key: LeafKey,
+        named: Option<RequestRate>,
+        sent: Instant,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        self.leafs.get_mut(key)?.on_limit(named, sent, now)
+    }
+
     fn remove_key(&mut self, key: LeafKey) -> Option<Leaf> {
         let leaf = self.leafs.remove(key)?;
         if self.by_id.get(&leaf.entry.id) == Some(&key) {
--- a/lib/src/coordination/serving/fleet/leaf.rs
+++ b/lib/src/coordination/serving/fleet/leaf.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::state::rate::RequestRate;
+
 /// Added to the score of a leaf in another failure domain, in median latencies. Bytes between
 /// failure domains are billed, so a local leaf is preferred until it is about three times as slow
 /// as usual; the latency objective leaves room for that.
@@ -89,6 +91,23 @@
     Abandoned(Duration),
 }
 
+/// How a leaf's limit on requests has changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitChange {
+    /// The leaf names a limit for the first time, or another one than before.
+    Set(RequestRate),
+    /// The leaf no longer names the limit that it named before.
+    Lifted(RequestRate),
+}
+
+/// A limit on the requests from all instances together, as the leaf's answers name it.
+#[derive(Clone, Copy, Debug)]
+struct NamedLimit {
+    rate: RequestRate,
+    // When an answer last named it.
+    heard_at: Instant,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct InFlight {
     started: Instant,
@@ -111,6 +130,7 @@
     backoff_until: Option<Instant>,
     // Send times of the calls of the last second, recorded only while the leaf is cold.
     cold_calls: Vec<Instant>,
+    limit: Option<NamedLimit>,
 }
 
 impl Leaf {
@@ -128,6 +148,7 @@
             consecutive_failures: 0,
             backoff_until: None,
             cold_calls: Vec::new(),
+            limit: None,
         }
     }
 
@@ -161,6 +182,34 @@
         self.in_flight.len()
     }
 
+    /// Returns the limit on requests from all instances together that the leaf names.
+    #[must_use]
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit.map(|limit| limit.rate)
+    }
+
+    /// Records the limit that the leaf's answer to a call sent at `sent` names. An answer without
+    /// one lifts the limit only if the call was sent after the limit was last named: answers may
+    /// overtake each other.
+    pub(super) fn on_limit(
+        &mut self,
+        named: Option<RequestRate>,
+        sent: Instant,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        let before = self.limit;
+        let Some(rate) = named else {
+            let lifted = before.filter(|limit| sent > limit.heard_at)?;
+            self.limit = None;
+            return Some(LimitChange::Lifted(lifted.rate));
+        };
+        self.limit = Some(NamedLimit {
+            rate,
+            heard_at: now,
+        });
+        (before.map(|limit| limit.rate) != Some(rate)).then_some(LimitChange::Set(rate))
+    }
+
     fn remaining_weight(&self, now: Instant) -> f32 {
         let age = now
             .saturating_duration_since(self.last_sample_at)
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -7,6 +7,7 @@
 pub mod hlc;
 pub mod id;
 pub mod plan;
+pub mod rate;
 pub mod record;
 pub mod rollout;
 pub mod size;
