--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -151,6 +151,7 @@
 #[derive(Debug, Default)]
 struct State {
     behaviour: Behaviour,
+    limit: Option<f64>,
     runs: Vec<Run>,
     open_connections: usize,
 }
@@ -241,6 +242,12 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Sets the limit on requests per second that its answers name from now on; `None` names none.
+    /// It runs requests above the limit nevertheless.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        self.lock().limit = limit;
+    }
+
     /// Returns the requests it has started to run, oldest first.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -258,7 +265,11 @@
     }
 
     fn answer(&self, request: &str) -> Vec<u8> {
-        let mut answer = answer_head(&self.id, request, "Content-Length: 16").into_bytes();
+        let framing = match self.lock().limit {
+            Some(limit) => format!("Content-Length: 16\r\nServer-Limit: {limit}"),
+            None => "Content-Length: 16".into(),
+        };
+        let mut answer = answer_head(&self.id, request, &framing).into_bytes();
         answer.extend_from_slice(&self.record());
         answer
     }
