serving: keep to the limits that leafs name, with tokens of one grantor

Callers saw nothing yet; a leaf in need got up to 1.6 times what it said it can take, and on more heavily loaded deployments would get any multiple.

Cause: nothing read the limit. The class of fault: a bound on the sum over all instances, of which each sees only its own calls. Retry budgets and cold leafs have such bounds, too, but are divided by the number of instances; a leaf's limit is too small for that (25 a second among 7, two a second among 195 instances), and demand is uneven.

Each call to a limited leaf takes a token now. One instance per leaf, chosen by rendezvous hashing in the leaf's domain, creates tokens at the rate of the limit; the others claim them four times a second by the requests they have, and return unused ones. Tokens expire after 420 ms, so 4 s hold at most 4.67 limits, wherever instances stop or start. A substitute grants half of the limit, because the grantor that it replaces may still grant some. Ruled out: equal division (a leaf with a limit of 2 would be unused by 195 instances), adapting to refusals (the bound counts them).

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -290,6 +290,7 @@
     let service = &*leaf.entry().service;
     match change {
         LimitChange::Set(limit) => {
+            shared.limit_named.notify_one();
             log::info!(leaf = id, service = service, limit = limit.per_second(), in_flight = leaf.in_flight(); "the leaf limits its requests");
         }
         LimitChange::Lifted(before) => {
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -72,7 +72,8 @@
 /// as many records as the answer to the caller.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
-const TCP_OPTIONS: TcpOptions = TcpOptions {
+/// Options of connections to other instances.
+pub const TCP_OPTIONS: TcpOptions = TcpOptions {
     // A round trip within a region takes a few milliseconds, and the query has to run in the time
     // that remains.
     connect_timeout: Duration::from_millis(25),
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -15,6 +15,7 @@
 mod request;
 mod server;
 mod shared;
+mod tokens;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -25,6 +25,7 @@
 use crate::server::Connections;
 use crate::shared::Phase;
 use crate::shared::Shared;
+use crate::tokens;
 
 /// How often expired connections and leafs are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -89,6 +90,7 @@
     let connections = Rc::new(Connections::default());
     tokio::task::spawn_local(Follower::new(Rc::clone(&shared)).run());
     tokio::task::spawn_local(registration::run(Rc::clone(&shared)));
+    tokio::task::spawn_local(tokens::run(Rc::clone(&shared)));
     tokio::task::spawn_local(server::serve_readiness(Rc::clone(&shared), readiness));
     let accept_tasks =
         [(callers, Source::Caller), (peers, Source::Instance)].map(|(listener, source)| {
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -50,6 +50,7 @@
 use crate::handover::HandoverRequest;
 use crate::handover::Query;
 use crate::shared::Shared;
+use crate::tokens;
 
 /// Headers that are not forwarded: the hop-by-hop ones, and `Expect`, because the instance reads
 /// the whole body before it calls a leaf.
@@ -151,6 +152,9 @@
     origin: Origin,
 ) -> Response<Full<Bytes>> {
     let _in_progress = InProgress::new(&shared);
+    if origin.source == Source::Instance && request.headers().contains_key(tokens::HEADER) {
+        return tokens::serve(&shared, request).await;
+    }
     let plan = shared.wait_for_plan().await;
     let Some(plan) = plan else {
         log::info!(request = request_id(request.headers()); "request refused: no configuration yet");
@@ -250,7 +254,7 @@
 }
 
 /// Removes the headers in [`HOP_HEADERS`], those that `Connection` names, `Content-Length` and those
-/// of handovers.
+/// of messages between instances.
 pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
@@ -262,6 +266,7 @@
     headers.remove(handover::HEADER);
     headers.remove(handover::ROLE_HEADER);
     headers.remove(handover::DIGEST_HEADER);
+    headers.remove(tokens::HEADER);
     for name in HOP_HEADERS.iter().chain(&named) {
         headers.remove(name);
     }
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -15,6 +15,7 @@
 use camphorhold::coordination::serving::RetryBudgets;
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::LeafLimits;
+use camphorhold::coordination::serving::rate_limit::Grantor;
 use camphorhold::coordination::serving::split::Split;
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Route;
@@ -93,6 +94,10 @@
     pub concurrency_limits: RefCell<ConcurrencyLimits>,
     /// The registered instances, this one included.
     pub instances: RefCell<Instances>,
+    /// The tokens of limited leafs that this instance grants.
+    pub grantor: RefCell<Grantor>,
+    /// Wakes the task that claims tokens, when a leaf names a limit or another one than before.
+    pub limit_named: Notify,
     /// The memory for answers of leafs and instances that are being read.
     pub read_budget: ReadBudget,
     /// Idle connections to leafs.
@@ -135,6 +140,8 @@
             retry_budgets: RefCell::new(retry_budgets),
             concurrency_limits: RefCell::default(),
             instances: RefCell::new(instances),
+            grantor: RefCell::default(),
+            limit_named: Notify::new(),
             read_budget: ReadBudget::new(read_bytes),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -18,6 +18,8 @@
 pub use self::leaf::LeafEntry;
 pub use self::leaf::LimitChange;
 pub use self::leaf::Standing;
+use super::rate_limit::Claim;
+use super::rate_limit::wanted_tokens;
 use crate::state::rate::RequestRate;
 
 new_key_type! {
@@ -280,6 +282,7 @@
             && !leaf.is_backing_off(now)
             && leaf.in_flight() < self.connection_limit(limits)
             && self.cold_rate_allows(leaf, limits, now)
+            && leaf.limit_allows(now)
     }
 
     /// Returns how many calls this instance may have in flight to one leaf, each on its own
@@ -335,6 +338,37 @@
         self.leafs.get_mut(key)?.on_limit(named, sent, now)
     }
 
+    /// Returns whether a leaf names a limit on requests.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        self.leafs.values().any(|leaf| leaf.limit().is_some())
+    }
+
+    /// Returns a claim for tokens of each leaf that names a limit and that this instance has
+    /// requests for. `request_rate` returns how many requests per second it has for a service.
+    /// Until they are granted, the instance has no tokens.
+    pub fn claim_tokens<F>(&mut self, mut request_rate: F, now: Instant) -> Vec<(LeafKey, Claim)>
+    where
+        F: FnMut(&str) -> f64,
+    {
+        self.leafs
+            .iter_mut()
+            .filter(|(_, leaf)| leaf.limit().is_some())
+            .filter_map(|(key, leaf)| {
+                let wanted = wanted_tokens(request_rate(&leaf.entry.service));
+                let claim = leaf.claim(wanted, now)?;
+                (claim.wanted > 0 || claim.returned > 0).then_some((key, claim))
+            })
+            .collect()
+    }
+
+    /// Records the tokens granted for a leaf, with which calls may be sent until `expires_at`.
+    pub fn on_granted(&mut self, key: LeafKey, tokens: u32, expires_at: Instant) {
+        if let Some(leaf) = self.leafs.get_mut(key) {
+            leaf.on_granted(tokens, expires_at);
+        }
+    }
+
     fn remove_key(&mut self, key: LeafKey) -> Option<Leaf> {
         let leaf = self.leafs.remove(key)?;
         if self.by_id.get(&leaf.entry.id) == Some(&key) {
--- a/lib/src/coordination/serving/fleet/leaf.rs
+++ b/lib/src/coordination/serving/fleet/leaf.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::coordination::serving::rate_limit::Claim;
+use crate::coordination::serving::rate_limit::Lease;
 use crate::state::rate::RequestRate;
 
 /// Added to the score of a leaf in another failure domain, in median latencies. Bytes between
@@ -106,6 +108,8 @@
     rate: RequestRate,
     // When an answer last named it.
     heard_at: Instant,
+    // The calls that this instance may send.
+    lease: Lease,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -206,10 +210,37 @@
         self.limit = Some(NamedLimit {
             rate,
             heard_at: now,
+            lease: before.map_or_else(Lease::default, |limit| limit.lease),
         });
         (before.map(|limit| limit.rate) != Some(rate)).then_some(LimitChange::Set(rate))
     }
 
+    /// Returns whether the leaf's limit, if it names one, permits a call of this instance now.
+    pub(super) fn limit_allows(&self, now: Instant) -> bool {
+        self.limit.is_none_or(|limit| limit.lease.has_token(now))
+    }
+
+    /// Returns a claim for that many tokens if the leaf names a limit. Gives up those of the last
+    /// claim.
+    pub(super) fn claim(&mut self, wanted: u32, now: Instant) -> Option<Claim> {
+        let limit = self.limit.as_mut()?;
+        Some(Claim {
+            leaf: self.entry.id.clone(),
+            domain: self.entry.domain.clone(),
+            limit: limit.rate,
+            heard_at: limit.heard_at,
+            wanted,
+            returned: limit.lease.withdraw(now),
+        })
+    }
+
+    /// Records the tokens granted for a claim.
+    pub(super) fn on_granted(&mut self, tokens: u32, expires_at: Instant) {
+        if let Some(limit) = &mut self.limit {
+            limit.lease.renew(tokens, expires_at);
+        }
+    }
+
     fn remaining_weight(&self, now: Instant) -> f32 {
         let age = now
             .saturating_duration_since(self.last_sample_at)
@@ -275,6 +306,9 @@
             started: now,
             expected,
         });
+        if let Some(limit) = &mut self.limit {
+            limit.lease.take();
+        }
         if let Some(until) = self.backoff_until
             && now >= until
         {
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -35,6 +35,7 @@
 use self::rendezvous::combine;
 use self::rendezvous::rank;
 use super::fleet::Fleet;
+use super::rate_limit::Precedence;
 
 /// The smallest number of shards that is handed over to another failure domain. A handover
 /// transfers about as many bytes as two calls.
@@ -349,6 +350,38 @@
         groups.into_values().collect()
     }
 
+    /// Returns the registered instance that grants the tokens of a limited leaf, with its name and
+    /// peer address: the first choice, or the next one if that is `excluded`. Instances in the
+    /// leaf's failure domain come first, because most of the leaf's calls come from there. Returns
+    /// `None` if none is left.
+    #[must_use]
+    pub fn grantor<F>(&self, leaf: &str, domain: &str, excluded: F) -> Option<(&str, SocketAddr)>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let hash = xxh3_64(leaf.as_bytes());
+        self.by_name
+            .iter()
+            .filter(|(name, instance)| instance.removed_at.is_none() && !excluded(name))
+            .filter_map(|(name, instance)| Some((name, instance, instance.location.as_ref()?)))
+            .map(|(name, instance, location)| {
+                let rank = rank(instance.hash, hash, location.capacity.cores());
+                (name, location, (&*location.domain == domain, rank))
+            })
+            .max_by(|(_, _, a), (_, _, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            .map(|(name, location, _)| (&**name, location.address))
+    }
+
+    /// Returns whether this instance is the first choice as the grantor of a leaf's tokens, or
+    /// replaces another one.
+    #[must_use]
+    pub fn grantor_precedence(&self, leaf: &str, domain: &str) -> Precedence {
+        match self.grantor(leaf, domain, |_| false) {
+            Some((name, _)) if *name == *self.own_name => Precedence::First,
+            Some(_) | None => Precedence::Substitute,
+        }
+    }
+
     /// Iterates over the instances of other failure domains that may get handovers now.
     fn handover_targets(
         &self,
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -8,6 +8,7 @@
 pub mod fanout;
 pub mod fleet;
 pub mod instances;
+pub mod rate_limit;
 pub mod retry_budget;
 pub mod shutdown;
 pub mod split;
--- a/lib/src/coordination/serving/retry_budget.rs
+++ b/lib/src/coordination/serving/retry_budget.rs
@@ -122,6 +122,15 @@
         self.budget(service, now).current().requests += 1;
     }
 
+    /// Returns how many requests per second this instance has had for a service in the last window.
+    pub fn request_rate(&mut self, service: &str, now: Instant) -> f64 {
+        let covered = now
+            .saturating_duration_since(self.started)
+            .min(self.bound.window);
+        let requests = self.budget(service, now).total().requests;
+        f64::from(requests) / covered.as_secs_f64().max(1.0)
+    }
+
     /// Takes one extra call to a service from the budget. Returns whether the budget allowed it.
     pub fn take(&mut self, service: &str, purpose: ExtraCall, now: Instant) -> bool {
         let available = self.available(service, now);
