instance: show the store's era and passed-over entries in the logs

Decodes the era in the store's answers, logs it with listings and changes, and logs entries that are older than the applied ones. Logic unchanged.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -190,7 +190,7 @@
         let changes = self.watch(revision).await?;
         self.on_success();
         let has_events = !changes.events.is_empty();
-        log::info!(after = revision, events = changes.events.len(), revision = changes.revision; "changes read from the store");
+        log::info!(after = revision, events = changes.events.len(), revision = changes.revision, era:? = self.store.era(); "changes read from the store");
         // Applies only the last change of each item.
         let mut last = HashMap::new();
         for event in &changes.events {
@@ -231,7 +231,8 @@
             revision = listing.revision,
             items = listing.items.len(),
             leafs = self.shared.fleet.borrow().len(),
-            config_version = self.shared.plan_version();
+            config_version = self.shared.plan_version(),
+            era:? = self.store.era();
             "all entries read from the store"
         );
     }
@@ -249,7 +250,12 @@
     }
 
     fn on_item(&mut self, item: &Item) {
-        if self.revisions.get(&item.key) >= Some(&item.revision) {
+        if let Some(applied) = self.revisions.get(&item.key).copied()
+            && applied >= item.revision
+        {
+            if applied > item.revision {
+                log::info!(key = &*item.key, revision = item.revision, applied = applied; "entry passed over: a later revision of it was applied");
+            }
             return;
         }
         self.revisions.insert(item.key.clone(), item.revision);
