--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -20,6 +20,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -30,6 +31,9 @@
 
 use crate::server;
 
+/// In all answers: how many times the store has been restored.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// The largest number of items on one page of a range, small so that tests read several pages.
 const MAX_PAGE_ITEMS: usize = 5;
 
@@ -59,8 +63,17 @@
     created: u64,
 }
 
+/// What the store held at some moment, to be restored later.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    // How many times the store has been restored from a copy.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     // The changes, oldest first; `None` is a removal.
@@ -98,7 +111,8 @@
 #[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
-    changed: watch::Sender<u64>,
+    // The era and the revision.
+    changed: watch::Sender<(u64, u64)>,
 }
 
 impl Shared {
@@ -117,7 +131,7 @@
         let (listener, address) = server::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let shared = Arc::new(Shared {
             state: Mutex::default(),
-            changed: watch::channel(0).0,
+            changed: watch::channel((0, 0)).0,
         });
         tokio::spawn(serve(listener, Arc::clone(&shared)));
         Ok(Self { address, shared })
@@ -156,6 +170,31 @@
         state.history.clear();
     }
 
+    /// Returns a copy of what the store holds now.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        let state = self.shared.lock();
+        Copy {
+            revision: state.revision,
+            items: state.items.clone(),
+        }
+    }
+
+    /// Replaces what the store holds by an earlier copy. What was written since is gone, and its
+    /// revisions are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.shared.lock();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.items = copy.items;
+        state
+            .history
+            .retain(|(revision, _, _)| *revision <= copy.revision);
+        state.compacted = state.compacted.min(copy.revision);
+        let changed = (state.era, state.revision);
+        self.shared.changed.send_replace(changed);
+    }
+
     /// Returns the number of calls received, including those that a fault refused.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -176,7 +215,9 @@
     fn change(&self, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.shared.lock();
         state.change(key, value);
-        self.shared.changed.send_replace(state.revision);
+        self.shared
+            .changed
+            .send_replace((state.era, state.revision));
     }
 }
 
@@ -233,7 +274,10 @@
         (Method::POST, path) if path.starts_with("/api/kv-keep/") => (StatusCode::OK, json!({})),
         _ => (StatusCode::NOT_FOUND, json!({})),
     };
-    Ok(respond(status, &value))
+    let mut response = respond(status, &value);
+    let era = shared.lock().era;
+    response.headers_mut().insert(ERA, era.into());
+    Ok(response)
 }
 
 fn respond(status: StatusCode, value: &Value) -> Response<Full<Bytes>> {
@@ -305,9 +349,11 @@
     let mut revisions = shared.changed.subscribe();
     let wait = Duration::from_millis(query.number("wait_ms"));
     // If the wait times out, the answer contains no events.
-    let _ = tokio::time::timeout(wait, revisions.wait_for(|revision| *revision > after)).await;
+    let era = shared.lock().era;
+    let is_over = |changed: &(u64, u64)| changed.0 != era || changed.1 > after || after > changed.1;
+    let _ = tokio::time::timeout(wait, revisions.wait_for(is_over)).await;
     let state = shared.lock();
-    if after < state.compacted {
+    if after < state.compacted || after > state.revision {
         return (StatusCode::GONE, json!({}));
     }
     let changes: Vec<_> = state
@@ -353,6 +399,6 @@
         };
         state.change(key, Some(value));
     }
-    shared.changed.send_replace(state.revision);
+    shared.changed.send_replace((state.era, state.revision));
     (StatusCode::OK, json!({"revision": state.revision}))
 }
