serving: tell earlier entries of a leaf from later ones

A copy of the store that is some seconds old lists leafs that have left since as present, and draining ones as ready; the instance would call both again.

The fleet keeps the number of a leaf's writes and ignores an earlier entry of the same incarnation. It remembers leafs that have left for two minutes, and after a restore takes them back only with a later entry, or once the store still lists them long after it.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -275,7 +275,7 @@
         match Key::parse(key) {
             Key::Leaf(id) => {
                 let keep_until = self.keep_lapsed_until.filter(|until| *until > now);
-                self.shared.fleet.borrow_mut().remove(id, keep_until);
+                self.shared.fleet.borrow_mut().remove(id, keep_until, now);
                 log::info!(leaf = id, kept = keep_until.is_some(); "leaf entry removed");
             }
             Key::Evacuation(domain) => self.on_evacuation(domain, false),
@@ -333,15 +333,17 @@
                     revision = revision;
                     "leaf entry applied"
                 );
-                fleet.update(entry, self.shared.now());
+                if fleet.update(entry, self.shared.now()).is_none() {
+                    log::info!(leaf = id; "leaf entry is from before the restore of the store; the later one stays");
+                }
             }
             Some(Err(error)) => {
                 log::warn!(leaf = id, error:% = error; "invalid leaf entry; leaf removed");
-                fleet.remove(id, None);
+                fleet.remove(id, None, self.shared.now());
             }
             None => {
                 log::warn!(leaf = id; "leaf entry is not base64; leaf removed");
-                fleet.remove(id, None);
+                fleet.remove(id, None, self.shared.now());
             }
         }
     }
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -41,6 +41,10 @@
 /// does not answer.
 const CALLERS_PER_DOMAIN: usize = 2;
 
+/// How long the last entry of a leaf that has left is kept. Copies of the store are some seconds
+/// old.
+const LEFT_RETENTION: Duration = Duration::from_mins(2);
+
 /// Limits on the load of one leaf, over all instances. The operators set them per service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LeafLimits {
@@ -51,6 +55,15 @@
     pub cold_rate: Option<f64>,
 }
 
+/// A leaf that has left.
+#[derive(Clone, Debug)]
+struct Left {
+    entry: LeafEntry,
+    at: Instant,
+    // Whether the store was restored from a copy since then. If not, an entry under its id is new.
+    before_restore: bool,
+}
+
 /// All leafs that an instance knows, with its measurements of each.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -60,6 +73,7 @@
     leafs: SlotMap<LeafKey, Leaf>,
     by_id: HashMap<Box<str>, LeafKey>,
     by_service: HashMap<Box<str>, Vec<LeafKey>>,
+    left: HashMap<Box<str>, Left>,
     evacuated: HashSet<Box<str>>,
     // By service, the version that gets no traffic.
     excluded_versions: HashMap<Box<str>, Box<str>>,
@@ -76,6 +90,7 @@
             leafs: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_service: HashMap::new(),
+            left: HashMap::new(),
             evacuated: HashSet::new(),
             excluded_versions: HashMap::new(),
         }
@@ -95,10 +110,26 @@
     }
 
     /// Adds a leaf, or updates a known one from its entry. A new incarnation under a known id
-    /// replaces the old one, and its measurements start empty.
-    pub fn update(&mut self, entry: LeafEntry, now: Instant) -> LeafKey {
+    /// replaces the old one, and its measurements start empty. Returns `None`, and changes nothing,
+    /// if the leaf has written a later entry or had left: the store may hold the entry again after
+    /// it was restored from a copy.
+    pub fn update(&mut self, entry: LeafEntry, now: Instant) -> Option<LeafKey> {
+        if let Some(left) = self.left.get(&entry.id) {
+            let is_copy = entry == left.entry || entry.is_older_than(&left.entry);
+            if left.before_restore && is_copy {
+                return None;
+            }
+            self.left.remove(&entry.id);
+        }
         if let Some(&key) = self.by_id.get(&entry.id) {
             let leaf = &mut self.leafs[key];
+            if entry.is_older_than(&leaf.entry) {
+                return None;
+            }
+            if entry == leaf.entry {
+                leaf.kept_until = None;
+                return Some(key);
+            }
             let same = leaf.entry.started_unix_ms == entry.started_unix_ms
                 && leaf.entry.address == entry.address
                 && leaf.entry.service == entry.service;
@@ -107,7 +138,7 @@
                 leaf.kept_until = None;
                 leaf.local = entry.domain == self.domain;
                 leaf.entry = entry;
-                return key;
+                return Some(key);
             }
             self.remove_key(key);
         }
@@ -117,13 +148,27 @@
         let key = self.leafs.insert(Leaf::new(entry, local, now));
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
-        key
+        Some(key)
+    }
+
+    /// Records that the store was restored from a copy. The copy may list leafs that have left since
+    /// it was made.
+    pub fn on_store_restored(&mut self) {
+        for left in self.left.values_mut() {
+            left.before_restore = true;
+        }
+    }
+
+    /// Forgets the leafs that had left before the store was restored. An entry that the store still
+    /// holds long after that belongs to a running leaf.
+    pub fn forget_left(&mut self) {
+        self.left.retain(|_, left| !left.before_restore);
     }
 
     /// Removes a leaf whose entry is gone. After an outage of the store, the lease of an entry may
     /// have expired although the leaf still runs; with `keep_until` the leaf stays until then, so
     /// that it can restore its entry.
-    pub fn remove(&mut self, id: &str, keep_until: Option<Instant>) {
+    pub fn remove(&mut self, id: &str, keep_until: Option<Instant>, now: Instant) {
         let Some(&key) = self.by_id.get(id) else {
             return;
         };
@@ -131,10 +176,25 @@
             let kept = &mut self.leafs[key].kept_until;
             *kept = kept.or(keep_until);
         } else {
-            self.remove_key(key);
+            self.remove_left(key, now);
         }
     }
 
+    /// Removes a leaf whose entry is gone for good.
+    fn remove_left(&mut self, key: LeafKey, now: Instant) -> Option<Box<str>> {
+        self.left
+            .retain(|_, left| now.saturating_duration_since(left.at) < LEFT_RETENTION);
+        let entry = self.remove_key(key)?.entry;
+        let id = entry.id.clone();
+        let left = Left {
+            entry,
+            at: now,
+            before_restore: false,
+        };
+        self.left.insert(id.clone(), left);
+        Some(id)
+    }
+
     /// Removes the leafs whose entries were not restored by their `keep_until`, and returns their
     /// ids.
     pub fn expire(&mut self, now: Instant) -> Vec<Box<str>> {
@@ -146,8 +206,7 @@
             .collect();
         expired
             .into_iter()
-            .filter_map(|key| self.remove_key(key))
-            .map(|leaf| leaf.entry.id)
+            .filter_map(|key| self.remove_left(key, now))
             .collect()
     }
 
--- a/lib/src/coordination/serving/fleet/leaf.rs
+++ b/lib/src/coordination/serving/fleet/leaf.rs
@@ -60,6 +60,8 @@
     pub id: Box<str>,
     /// When this incarnation started, in Unix milliseconds, if the entry states it.
     pub started_unix_ms: Option<u64>,
+    /// Counts the writes of this incarnation to the store.
+    pub write_number: u64,
     /// The service that the leaf belongs to.
     pub service: Box<str>,
     /// The address at which the leaf accepts connections.
@@ -76,6 +78,16 @@
     pub cold_remaining: Duration,
 }
 
+impl LeafEntry {
+    /// Returns whether `other` is an entry of the same incarnation that the leaf wrote later. Without
+    /// the time of its start, an incarnation cannot be told from the next one.
+    pub(super) fn is_older_than(&self, other: &Self) -> bool {
+        self.started_unix_ms.is_some()
+            && self.started_unix_ms == other.started_unix_ms
+            && self.write_number < other.write_number
+    }
+}
+
 /// How a call to a leaf ended, as far as the leaf's measurements are concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallResult {
--- a/lib/tests/serving_fleet.rs
+++ b/lib/tests/serving_fleet.rs
@@ -6,6 +6,7 @@
 
 use camphorhold::coordination::serving::Fleet;
 use camphorhold::coordination::serving::fleet::CallResult;
+use camphorhold::coordination::serving::fleet::LeafEntry;
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::LeafLimits;
 use camphorhold::coordination::serving::fleet::Standing;
@@ -78,7 +79,7 @@
     fleet.update(new, now);
     fleet.set_excluded_version("s", Some("v2".into()));
     assert_eq!(chosen(&fleet, now).as_deref(), Some("far"));
-    fleet.remove("far", None);
+    fleet.remove("far", None, now);
     assert_eq!(chosen(&fleet, now).as_deref(), Some("near"));
     fleet.update(entry("far", "s", "b"), now);
     fleet.set_excluded_version("s", None);
@@ -122,7 +123,7 @@
 fn a_leaf_with_an_expired_lease_is_kept_until_its_entry_is_due_back() {
     let now = Instant::now();
     let mut fleet = fleet(&[("near", "s", "a")], now);
-    fleet.remove("near", Some(now + ms(2_300)));
+    fleet.remove("near", Some(now + ms(2_300)), now);
     assert_eq!(chosen(&fleet, now + ms(2_000)).as_deref(), Some("near"));
     assert_eq!(fleet.expire(now + ms(2_200)).len(), 0);
     assert_eq!(fleet.expire(now + ms(2_300)).len(), 1);
@@ -135,7 +136,7 @@
 fn a_leaf_that_restores_its_entry_in_time_is_kept() {
     let now = Instant::now();
     let mut fleet = fleet(&[("near", "s", "a")], now);
-    fleet.remove("near", Some(now + ms(2_300)));
+    fleet.remove("near", Some(now + ms(2_300)), now);
     fleet.update(entry("near", "s", "a"), now + ms(1_000));
     assert_eq!(fleet.expire(now + ms(5_000)).len(), 0);
 }
@@ -146,7 +147,7 @@
 fn a_removed_leaf_gets_no_calls() {
     let now = Instant::now();
     let mut fleet = fleet(&[("near", "s", "a")], now);
-    fleet.remove("near", None);
+    fleet.remove("near", None, now);
     assert_eq!(chosen(&fleet, now), None);
     assert!(fleet.is_empty());
 }
@@ -161,8 +162,8 @@
     first.started_unix_ms = Some(1);
     let mut second = entry("near", "s", "a");
     second.started_unix_ms = Some(2);
-    let before = fleet.update(first, now);
-    let after = fleet.update(second, now);
+    let before = fleet.update(first, now).unwrap();
+    let after = fleet.update(second, now).unwrap();
     assert_ne!(before, after);
     assert!(fleet.get(before).is_none());
     assert_eq!(fleet.len(), 1);
@@ -260,7 +261,7 @@
     fleet.set_instances(3, 3);
     let mut cold = entry("near", "s", "a");
     cold.cold_remaining = ms(3_000);
-    let near = fleet.update(cold, now);
+    let near = fleet.update(cold, now).unwrap();
     let limits = LeafLimits {
         max_connections: 100,
         cold_rate: Some(6.0),
@@ -292,3 +293,65 @@
     assert_eq!(chosen_with(&fleet, limits, now), None);
     assert!(chosen_with(&fleet, limits, now + ms(3_000)).is_some());
 }
+
+/// Returns an entry as a leaf that started at a known time writes it.
+fn written(number: u64, standing: Standing) -> LeafEntry {
+    let mut written = entry("near", "s", "a");
+    written.started_unix_ms = Some(1);
+    written.write_number = number;
+    written.standing = standing;
+    written
+}
+
+/// Guards against calls to a draining leaf after the store was restored from a copy that lists it as
+/// ready.
+#[test]
+fn an_earlier_entry_of_a_draining_leaf_is_ignored() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[], now);
+    fleet.update(written(5, Standing::Draining), now);
+    fleet.on_store_restored();
+    assert_eq!(fleet.update(written(2, Standing::Ready), now), None);
+    assert_eq!(chosen(&fleet, now), None);
+}
+
+/// Guards against calls to a leaf that has left and is listed again after the store was restored
+/// from a copy, and against a running leaf that stays shut out.
+#[test]
+fn a_leaf_that_left_before_a_restore_returns_only_with_a_later_entry() {
+    let now = Instant::now();
+    for returns in [
+        Some(written(6, Standing::Ready)),
+        Some(LeafEntry {
+            started_unix_ms: Some(2),
+            ..written(1, Standing::Ready)
+        }),
+        None,
+    ] {
+        let mut fleet = fleet(&[], now);
+        fleet.update(written(5, Standing::Ready), now);
+        fleet.remove("near", None, now);
+        fleet.on_store_restored();
+        assert_eq!(fleet.update(written(5, Standing::Ready), now), None);
+        assert_eq!(chosen(&fleet, now), None);
+        if let Some(entry) = returns {
+            assert!(fleet.update(entry, now).is_some());
+        } else {
+            fleet.forget_left();
+            assert!(fleet.update(written(5, Standing::Ready), now).is_some());
+        }
+        assert_eq!(chosen(&fleet, now).as_deref(), Some("near"));
+    }
+}
+
+/// Guards against a leaf that stays shut out because its entry lapsed and was written again while
+/// the store kept everything.
+#[test]
+fn a_leaf_may_return_with_the_same_entry_if_the_store_was_not_restored() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[], now);
+    fleet.update(written(5, Standing::Ready), now);
+    fleet.remove("near", None, now);
+    assert!(fleet.update(written(5, Standing::Ready), now).is_some());
+    assert_eq!(chosen(&fleet, now).as_deref(), Some("near"));
+}
--- a/lib/tests/serving_support/mod.rs
+++ b/lib/tests/serving_support/mod.rs
@@ -22,6 +22,7 @@
     LeafEntry {
         id: id.into(),
         started_unix_ms: None,
+        write_number: 1,
         service: service.into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         domain: domain.into(),
