instance: read everything anew after a restore of the store

Callers saw requests run by services that the configuration no longer named, and 404 on routes that had been added, on every instance and for good.

Cause: the follower keeps the applied revision of each entry and passes over entries that are not newer. The class of fault: a counter of another system is taken to rise forever.

Clients of the store compare the era in each answer. A new one ends what they do with an error, also in a probe: revisions are forgotten, all entries are read, the instance registers again. What is missing is kept for 2.3 s, in which it is written again, then everything is read once more; an older configuration never replaces the one in force. After 15 s leafs that only the copy lists are taken for running ones if they are still listed.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -14,6 +14,7 @@
 use camphorhold_platform::plan;
 use camphorhold_platform::rollout::RolloutSpec;
 use camphorhold_platform::store::Changes;
+use camphorhold_platform::store::Era;
 use camphorhold_platform::store::Event;
 use camphorhold_platform::store::Item;
 use camphorhold_platform::store::Listing;
@@ -50,6 +51,14 @@
 /// that lapsed during an outage are restored within about 2 s of its end.
 const LAPSED_LEAF_RETENTION: Duration = Duration::from_millis(2_300);
 
+/// How long after a restore of the store from a copy entries that it lists may be those of leafs
+/// that have left. Leafs that do not write any more lose their entries after three of their check-in
+/// intervals.
+const STALE_LEAF_RETENTION: Duration = Duration::from_secs(15);
+
+/// The applied revision of an entry that has to be applied again. The store starts above it.
+const NO_REVISION: u64 = 0;
+
 /// Reads the store, watches it for changes and applies them to the shared state.
 pub struct Follower {
     shared: Rc<Shared>,
@@ -63,13 +72,34 @@
     failing_since: Option<Instant>,
     // The end of the time in which leafs are kept although their entries are missing.
     keep_lapsed_until: Option<Instant>,
+    restore: Option<Restore>,
+}
+
+/// What is left to do after the store was restored from a copy. What the operators and the leafs
+/// wrote since the copy was made is written again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Restore {
+    /// Entries may be missing until this time. Then all entries are read, and what is still missing
+    /// is gone.
+    Rewriting(Instant),
+    /// Entries of leafs that have left may be there until this time. Then all entries are read, and
+    /// what is still there is in use.
+    Lapsing(Instant),
+}
+
+impl Restore {
+    fn ends_at(self) -> Instant {
+        match self {
+            Self::Rewriting(until) | Self::Lapsing(until) => until,
+        }
+    }
 }
 
 impl Follower {
     /// Creates a follower that has not read from the store yet.
     pub fn new(shared: Rc<Shared>) -> Self {
         let store = Store::new(shared.settings.store_address);
-        let probes = Store::new(shared.settings.store_address);
+        let probes = store.sibling();
         let probe_key = key::instance(&shared.settings.name);
         Self {
             shared,
@@ -79,6 +109,7 @@
             revisions: HashMap::new(),
             failing_since: None,
             keep_lapsed_until: None,
+            restore: None,
         }
     }
 
@@ -100,28 +131,83 @@
                     log::info!(revision:? = last_revision; "the store has compacted the changes since this revision; reading all entries");
                     last_revision = None;
                 }
+                Err(StoreError::Restored(era)) => {
+                    self.on_success();
+                    self.on_restored(era);
+                    last_revision = None;
+                }
                 Err(error) => {
                     self.on_failure(&error);
-                    self.wait_for_answer(&mut pause).await;
+                    if let Some(era) = self.wait_for_answer(&mut pause).await {
+                        self.on_restored(era);
+                        last_revision = None;
+                    }
                 }
             }
+            if self
+                .restore
+                .is_some_and(|restore| restore.ends_at() <= self.shared.now())
+            {
+                self.end_restore_phase();
+                last_revision = None;
+            }
         }
     }
 
     /// Probes the store until it answers again. A probe costs a tenth of a watch or a listing.
-    async fn wait_for_answer(&mut self, pause: &mut Duration) {
+    /// Returns the era if the store was restored.
+    async fn wait_for_answer(&mut self, pause: &mut Duration) -> Option<Era> {
         loop {
             tokio::time::sleep(*pause).await;
             *pause = (*pause * 2).min(LONGEST_PAUSE);
-            match self.probes.probe(&self.probe_key).await {
-                // Ends the outage now rather than when the next watch returns, which may take long:
-                // lapsed entries are restored from now on.
-                Ok(_) => return self.on_success(),
-                Err(error) => self.on_failure(&error),
-            }
+            let era = match self.probes.probe(&self.probe_key).await {
+                Ok(_) => None,
+                Err(StoreError::Restored(era)) => Some(era),
+                Err(error) => {
+                    self.on_failure(&error);
+                    continue;
+                }
+            };
+            // Ends the outage now rather than when the next watch returns, which may take long:
+            // lapsed entries are restored from now on.
+            self.on_success();
+            return era;
         }
     }
 
+    /// Revisions are given out again from that of the copy, so all entries that are read next count
+    /// as new. What the instance itself wrote may be gone.
+    fn on_restored(&mut self, era: Era) {
+        metrics::counter!("camphorhold_store_restores_total").increment(1);
+        let config_version = self.shared.plan_version();
+        log::warn!(era:% = era, config_version = config_version; "the store was restored from a copy; reading all entries, keeping what is missing for now");
+        for revision in self.revisions.values_mut() {
+            *revision = NO_REVISION;
+        }
+        let now = self.shared.now();
+        let rewritten_by = now + LAPSED_LEAF_RETENTION;
+        self.keep_lapsed_until = Some(rewritten_by);
+        self.restore = Some(Restore::Rewriting(rewritten_by));
+        self.shared.fleet.borrow_mut().on_store_restored();
+        self.shared.store_restored.notify_one();
+    }
+
+    fn end_restore_phase(&mut self) {
+        let now = self.shared.now();
+        self.restore = match self.restore {
+            Some(Restore::Rewriting(_)) => Some(Restore::Lapsing(now + STALE_LEAF_RETENTION)),
+            Some(Restore::Lapsing(_)) | None => {
+                self.shared.fleet.borrow_mut().forget_left();
+                for (key, revision) in &mut self.revisions {
+                    if matches!(Key::parse(key), Key::Leaf(_)) {
+                        *revision = NO_REVISION;
+                    }
+                }
+                None
+            }
+        };
+    }
+
     fn on_failure(&mut self, error: &StoreError) {
         metrics::counter!("camphorhold_store_calls_total", "outcome" => "failed").increment(1);
         if self.failing_since.is_none() {
@@ -152,23 +238,32 @@
         Ok(listing.revision)
     }
 
-    /// Waits for changes after `revision`. Meanwhile probes the store, and fails if a probe fails
-    /// or if two successive probes show a newer revision that the watch has not returned.
-    async fn watch(&mut self, revision: u64) -> Result<Changes, StoreError> {
+    /// Waits for changes after `revision`, or until a phase of a restore ends, and then returns none.
+    /// Meanwhile probes the store, and fails if a probe fails or if two successive probes show a
+    /// newer revision that the watch has not returned.
+    async fn watch(&mut self, revision: u64) -> Result<Option<Changes>, StoreError> {
         let watch = self.store.watch(revision, WATCH_TIMEOUT);
         tokio::pin!(watch);
         let mut watch_is_behind = false;
         // The first probe is sent together with the watch: a fault that loses the watch also loses
         // the probe.
         let mut probe_at = self.shared.now();
+        let phase_end = self.restore.map(Restore::ends_at);
         loop {
+            let phase_end = async {
+                match phase_end {
+                    Some(at) => tokio::time::sleep_until(at.into()).await,
+                    None => std::future::pending().await,
+                }
+            };
             let probe = async {
                 tokio::time::sleep_until(probe_at.into()).await;
                 self.probes.probe(&self.probe_key).await
             };
             tokio::select! {
                 biased;
-                changes = &mut watch => return changes,
+                changes = &mut watch => return changes.map(Some),
+                () = phase_end => return Ok(None),
                 probed = probe => {
                     let probed = probed?;
                     self.shared.last_store_answer.set(self.shared.now());
@@ -187,7 +282,9 @@
     }
 
     async fn read_changes(&mut self, revision: u64) -> Result<u64, StoreError> {
-        let changes = self.watch(revision).await?;
+        let Some(changes) = self.watch(revision).await? else {
+            return Ok(revision);
+        };
         self.on_success();
         let has_events = !changes.events.is_empty();
         log::info!(after = revision, events = changes.events.len(), revision = changes.revision, era:? = self.store.era(); "changes read from the store");
@@ -220,6 +317,12 @@
             .cloned()
             .collect();
         for key in removed {
+            let may_be_rewritten = matches!(self.restore, Some(Restore::Rewriting(_)));
+            // The fleet itself keeps leafs until then.
+            if may_be_rewritten && !matches!(Key::parse(&key), Key::Leaf(_)) {
+                log::info!(key = &*key; "entry is missing after the restore of the store; kept for now");
+                continue;
+            }
             self.revisions.remove(&key);
             self.on_removed(&key);
         }
--- a/instance/src/registration.rs
+++ b/instance/src/registration.rs
@@ -50,7 +50,7 @@
 }
 
 /// Registers the instance and renews the registration, until the process ends. Registers again if
-/// the lease expires.
+/// the lease expires, and after a restore of the store, which loses registrations and leases.
 pub async fn run(shared: Rc<Shared>) {
     let mut store = Store::new(shared.settings.store_address);
     let key = key::instance(&shared.settings.name);
@@ -58,8 +58,18 @@
         match register(&mut store, &shared, &key).await {
             Ok(lease) => {
                 log::info!(key = key; "registered the instance in the store");
-                renew(&mut store, lease).await;
-                log::warn!(key = key; "lease of the registration expired; registering again");
+                tokio::select! {
+                    () = renew(&mut store, lease) => {
+                        log::warn!(key = key; "lease of the registration expired; registering again");
+                    }
+                    () = shared.store_restored.notified() => {
+                        log::info!(key = key; "the store was restored from a copy; registering again");
+                        store = Store::new(shared.settings.store_address);
+                    }
+                }
+            }
+            Err(StoreError::Restored(era)) => {
+                log::info!(key = key, era:% = era; "the store was restored from a copy; registering again");
             }
             Err(error) => {
                 log::warn!(error:% = error; "cannot register the instance in the store; retrying");
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -106,6 +106,8 @@
     pub peer_pool: Pool<SocketAddr>,
     /// When the store last answered; the start of the process before its first answer.
     pub last_store_answer: Cell<Instant>,
+    /// Wakes the registration of the instance when the store was restored from a copy.
+    pub store_restored: Notify,
     /// The phase of the instance. Only moves forward.
     pub phase: Cell<Phase>,
     /// The number of requests in progress, handovers from other instances included.
@@ -146,6 +148,7 @@
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
             last_store_answer: Cell::new(now),
+            store_restored: Notify::new(),
             phase: Cell::new(Phase::Starting),
             in_progress: Cell::new(0),
             profiles: RefCell::default(),
