soak: restore the store from copies, let leafs name limits

The soak played neither. Restores and limits come on top of the drawn faults and from a random stream of their own, so earlier seeds keep their schedules; the regression seeds run without them. After a restore everything is written again, and entries of leafs that have left lapse. New check: in any 4 s in which all instances were told and undisturbed, a limited leaf gets at most one and a half times what it permits, and 5 more.

--- a/instance/tests/soak.rs
+++ b/instance/tests/soak.rs
@@ -8,11 +8,16 @@
 
 /// Runs one seed and checks that no promise was broken.
 fn run(seed: u64, seconds: u64) {
+    run_with(seed, seconds, false);
+}
+
+fn run_with(seed: u64, seconds: u64, additional: bool) {
     let result = camphorhold_soak::run(&Options {
         program: Path::new(env!("CARGO_BIN_EXE_camphorhold-instance")).into(),
         seed,
         length: Duration::from_secs(seconds),
         instances: 3,
+        additional,
         logs: None,
     });
     let report = result.expect("the run can be completed");
@@ -26,6 +31,13 @@
     run(1, 6);
 }
 
+/// Guards against faults that break a promise while the store is restored from copies and leafs name
+/// limits.
+#[test]
+fn promises_hold_with_restores_and_limits() {
+    run_with(4, 12, true);
+}
+
 /// Guards against a false finding of the soak: two evacuations of one failure domain overlapped,
 /// and the end of the first ended the second, too.
 #[test]
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -31,6 +31,9 @@
 /// How long a request may be in transit while the instance closes its connection.
 const CLOSE_SLACK: Duration = Duration::from_millis(200);
 
+/// The span over which the requests to a leaf with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
 /// How many leafs of one service a single request of a caller may reach, whatever retries and
 /// hedges the instances make.
 const MAX_LEAFS: usize = 2;
@@ -73,6 +76,15 @@
     pub(crate) span: Span,
 }
 
+/// A time in which a leaf named a limit on requests.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limited {
+    pub(crate) leaf: usize,
+    /// In requests per second from all instances together.
+    pub(crate) limit: u32,
+    pub(crate) span: Span,
+}
+
 /// What happened in a run besides the requests. The outer lists are by number of the instance.
 #[derive(Debug, Default)]
 pub(crate) struct Evidence {
@@ -85,6 +97,7 @@
     pub(crate) configured: Vec<Configured>,
     pub(crate) drained: Vec<Drained>,
     pub(crate) evacuated: Vec<Evacuated>,
+    pub(crate) limited: Vec<Limited>,
     /// Broken promises that were found during the run.
     pub(crate) violations: Vec<Violation>,
 }
@@ -179,6 +192,7 @@
     }
     checker.check_request_counts(records);
     checker.check_excluded_leafs();
+    checker.check_limited_leafs();
     checker.violations
 }
 
@@ -426,4 +440,50 @@
             self.report(promise, detail);
         }
     }
+
+    /// Checks the windows that begin after the bound has come into force, by when every instance
+    /// knows the limit, and in which no instance was disturbed: one that restarts has to be told
+    /// again.
+    fn check_limited_leafs(&mut self) {
+        let mut found = Vec::new();
+        for limited in &self.evidence.limited {
+            let leaf = &self.leafs[limited.leaf];
+            let overlaps = |other: &&Limited| {
+                other.leaf == limited.leaf
+                    && other.span.from < limited.span.to
+                    && limited.span.from < other.span.to
+            };
+            // Overlapping limits replace and end each other.
+            if self.evidence.limited.iter().filter(overlaps).count() > 1 {
+                continue;
+            }
+            let since = limited.span.from + SETTLING_TIME;
+            let counts = |at: &Instant| {
+                (since..limited.span.to).contains(at) && self.evidence.is_undisturbed(*at)
+            };
+            let runs = leaf.runs();
+            let counted: Vec<Instant> = runs.iter().map(|run| run.at).filter(counts).collect();
+            let in_window = |start: &Instant| {
+                let in_window = |at: &&Instant| **at >= *start && **at < *start + LIMIT_WINDOW;
+                counted.iter().filter(in_window).count()
+            };
+            let busiest = counted.iter().map(in_window).max().unwrap_or(0);
+            if busiest > permitted_requests(limited.limit) {
+                let limit = limited.limit;
+                found.push(format!(
+                    "{} got {busiest} requests in 4 s, its limit is {limit} a second",
+                    leaf.key()
+                ));
+            }
+        }
+        for detail in found {
+            self.report("limit", detail);
+        }
+    }
+}
+
+/// Returns how many requests a leaf with a limit may get within [`LIMIT_WINDOW`]: one and a half
+/// times what it permits, and 5 more.
+fn permitted_requests(limit: u32) -> usize {
+    usize::try_from(limit * 4 * 3 / 2 + 5).unwrap_or(usize::MAX)
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -32,6 +32,9 @@
     pub length: Duration,
     /// How many instances run side by side.
     pub instances: usize,
+    /// Whether the store may be restored from copies, and leafs may name limits. Seeds that found
+    /// faults before these existed run without.
+    pub additional: bool,
     /// The folder for the logs of the instances, one file each. `None` discards them.
     pub logs: Option<PathBuf>,
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -48,6 +48,7 @@
             seed,
             length: Duration::from_secs(arguments.seconds),
             instances: arguments.instances,
+            additional: true,
             logs: arguments.logs.clone(),
         })
         .into_diagnostic()?;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -5,6 +5,7 @@
 use camphorhold_testutils::platform::leaf::Behaviour;
 use camphorhold_testutils::platform::store::Fault as StoreFault;
 use rand::Rng;
+use rand::SeedableRng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
@@ -24,6 +25,18 @@
 /// undisturbed: few kinds leave long periods in which those can be checked.
 const MAX_KINDS: usize = 4;
 
+/// The random stream of the faults that [`draw_additional`] draws.
+const ADDITIONAL_STREAM: u64 = 1;
+
+/// The most restores of the store and limits of leafs in one run.
+const MAX_RESTORES: usize = 2;
+const MAX_LIMITS: usize = 3;
+
+/// The range of the time for which a leaf names a limit, in milliseconds, and of the limits, in
+/// requests per second. The time exceeds that after which the bound on requests holds.
+const LIMITED_MS: std::ops::Range<u64> = 6_000..12_000;
+const LIMIT: std::ops::Range<u32> = 0..15;
+
 /// A fault. The number says which instance, leaf or failure domain it affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -51,6 +64,11 @@
     Configure,
     /// A failure domain is evacuated: its leafs must get no requests.
     Evacuate(usize),
+    /// A copy of the store is made, and restored after the length of the fault. What was written
+    /// meanwhile is written again soon after.
+    Restore,
+    /// A leaf names a limit on requests, in requests per second from all instances together.
+    Limit(usize, u32),
     /// Another writer adds an entry to the store, under the prefix of the leafs, that does not
     /// describe a leaf.
     ForeignEntry,
@@ -91,6 +109,31 @@
     events
 }
 
+/// Draws restores of the store and limits of leafs, in some runs none. They come on top of the
+/// faults that [`draw`] returns, so that those of earlier seeds stay as they were.
+pub(crate) fn draw_additional(seed: u64, counts: TargetCounts, length: Duration) -> Vec<Event> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(ADDITIONAL_STREAM);
+    let latest = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+    let mut events = Vec::new();
+    for _ in 0..random.random_range(0..=MAX_RESTORES) {
+        events.push(Event {
+            at: Duration::from_millis(random.random_range(0..latest)),
+            length: Duration::from_millis(random.random_range(LENGTH_MS)),
+            fault: Fault::Restore,
+        });
+    }
+    for _ in 0..random.random_range(0..=MAX_LIMITS) {
+        let leaf = random.random_range(0..counts.leafs);
+        events.push(Event {
+            at: Duration::from_millis(random.random_range(0..latest)),
+            length: Duration::from_millis(random.random_range(LIMITED_MS)),
+            fault: Fault::Limit(leaf, random.random_range(LIMIT)),
+        });
+    }
+    events
+}
+
 type DrawFault = fn(&mut ChaCha8Rng, TargetCounts) -> Fault;
 
 const KINDS: [DrawFault; 13] = [
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -33,6 +33,7 @@
 use crate::check::Drained;
 use crate::check::Evacuated;
 use crate::check::Evidence;
+use crate::check::Limited;
 use crate::check::Span;
 use crate::check::Violation;
 use crate::instances::Instances;
@@ -61,6 +62,11 @@
 /// connections. Longer than the 3 s within which instances stop sending requests to it.
 const DRAIN_DURATION: Duration = Duration::from_millis(3_500);
 
+/// After a restore of the store, the time until the operators and the leafs have written everything
+/// again, and the time until the entries of leafs that have left lapse after that.
+const REWRITE_DELAY: Duration = Duration::from_millis(400);
+const LAPSE_DELAY: Duration = Duration::from_secs(2);
+
 /// How much longer than other faults an evacuation lasts, so that it exceeds its bound of 5 s.
 const EXTRA_EVACUATION_DURATION: Duration = Duration::from_secs(6);
 
@@ -77,6 +83,9 @@
     link: Proxy,
     incarnation: Cell<u64>,
     draining: Cell<bool>,
+    // The state that its entry shows; `None` while it has none.
+    state: Cell<Option<&'static str>>,
+    writes: Cell<u64>,
 }
 
 /// Everything that runs except the callers, and the evidence recorded so far.
@@ -98,7 +107,11 @@
         leafs: SHARDS.len() * LEAFS_PER_SHARD,
         domains: DOMAINS.len(),
     };
-    let events = schedule::draw(&mut random, counts, options.length);
+    let mut events = schedule::draw(&mut random, counts, options.length);
+    if options.additional {
+        let additional = schedule::draw_additional(options.seed, counts, options.length);
+        events.extend(additional);
+    }
     let world = Rc::new(World::start(options).await?);
     let records = Records::default();
     let addresses = world.instances.addresses();
@@ -163,6 +176,8 @@
                 leaf,
                 incarnation: Cell::new(1),
                 draining: Cell::new(false),
+                state: Cell::new(None),
+                writes: Cell::new(0),
             });
         }
         let place = |number: usize| {
@@ -195,26 +210,61 @@
         Ok(world)
     }
 
-    fn register(&self, leaf: usize, state: &str) {
+    fn register(&self, leaf: usize, state: &'static str) {
         let site = &self.leafs[leaf];
+        site.state.set(Some(state));
+        site.writes.set(site.writes.get() + 1);
         let mut entry = site.leaf.entry(state);
+        entry["sequence"] = json!(site.writes.get());
         entry["address"] = json!(site.link.address().to_string());
         entry["born"] = json!(site.incarnation.get());
         self.store.put(&site.leaf.key(), &entry);
     }
 
     fn configure(&self) {
-        let version = self.version.get() + 1;
-        self.version.set(version);
+        self.version.set(self.version.get() + 1);
+        let first = self.write_configuration();
+        self.evidence
+            .borrow_mut()
+            .configured
+            .push(Configured { at: now(), first });
+    }
+
+    /// Writes the current version of the configuration and returns the first of its services.
+    fn write_configuration(&self) -> &'static str {
+        let version = self.version.get();
         let mut services = SHARDS;
         let first = usize::try_from(version).unwrap_or(0) % services.len();
         services.rotate_left(first);
         self.store
             .put(CONFIGURATION_KEY, &configuration(version, &services));
-        self.evidence.borrow_mut().configured.push(Configured {
-            at: now(),
-            first: services[0],
-        });
+        services[0]
+    }
+
+    /// Writes again what the operators and the leafs have written since the copy was made. Entries of
+    /// leafs that have left lapse a little later.
+    async fn rewrite(&self) {
+        tokio::time::sleep(REWRITE_DELAY).await;
+        self.write_configuration();
+        for (number, site) in self.leafs.iter().enumerate() {
+            if let Some(state) = site.state.get() {
+                self.register(number, state);
+            }
+        }
+        for (domain, evacuating) in DOMAINS.iter().zip(&self.evacuating) {
+            let key = evacuation_key(domain);
+            if evacuating.get() {
+                self.store.put(&key, &json!({}));
+            } else {
+                self.store.remove(&key);
+            }
+        }
+        tokio::time::sleep(LAPSE_DELAY).await;
+        for site in &self.leafs {
+            if site.state.get().is_none() {
+                self.store.remove(&site.leaf.key());
+            }
+        }
     }
 
     async fn apply(&self, event: Event) -> std::io::Result<()> {
@@ -243,6 +293,25 @@
                 self.instances.disturb_all(Duration::ZERO);
                 self.store.compact();
             }
+            Fault::Restore => {
+                let copy = self.store.copy();
+                tokio::time::sleep(length).await;
+                self.instances.disturb_all(REWRITE_DELAY);
+                self.store.restore(copy);
+                self.rewrite().await;
+            }
+            Fault::Limit(number, limit) => {
+                let leaf = &self.leafs[number].leaf;
+                leaf.set_limit(Some(limit.into()));
+                let from = now();
+                tokio::time::sleep(length).await;
+                leaf.set_limit(None);
+                self.evidence.borrow_mut().limited.push(Limited {
+                    leaf: number,
+                    limit,
+                    span: Span { from, to: now() },
+                });
+            }
             Fault::LeafLink(leaf, fault) => {
                 let link = &self.leafs[leaf].link;
                 link.set(fault);
@@ -291,6 +360,7 @@
         self.register(number, "draining");
         let from = now();
         tokio::time::sleep(DRAIN_DURATION).await;
+        site.state.set(None);
         self.store.remove(&site.leaf.key());
         site.link.set(LinkFault::Refuse);
         tokio::time::sleep(length).await;
@@ -313,6 +383,7 @@
         for site in &self.leafs {
             site.link.set(LinkFault::None);
             site.leaf.set_behaviour(Behaviour::Answer);
+            site.leaf.set_limit(None);
         }
     }
 
