instance: let the test of leafs that left prefer them

With the choice of leafs left to chance, the test passed although earlier entries replaced later ones (a mutation of is_older_than). The leaf that stays is slow now; the mutation fails the test.

--- a/instance/tests/restored.rs
+++ b/instance/tests/restored.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use camphorhold_testutils::platform::leaf::Behaviour;
 use camphorhold_testutils::platform::leaf::Leaf;
 use hyper::Response;
 use hyper::StatusCode;
@@ -106,6 +107,8 @@
     let [draining, left, stays] = &platform.leafs[..] else {
         panic!("three leafs");
     };
+    // The instance prefers the other leafs if it may call them.
+    stays.set_behaviour(Behaviour::Slow(Duration::from_millis(30)));
     platform
         .store
         .put(&draining.key(), &entry(draining, "draining", 7));
