--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Each instance calls the leafs directly. The limits that apply to all instances together (retry
 //! budgets, connections to a leaf, the request rate of a cold leaf) are divided by the number of
-//! instances, so that a call does not have to wait for another instance.
+//! instances, so that a call does not have to wait for another instance. Limits that leafs name
+//! themselves are too small for that: one instance grants the calls to such a leaf ([`rate_limit`]).
 
 pub mod concurrency_limit;
 pub mod fanout;
--- a/lib/tests/serving_rate_limit.rs
+++ b/lib/tests/serving_rate_limit.rs
@@ -156,15 +156,16 @@
 /// others its substitute, as they do when it stops or comes back.
 #[test]
 fn a_change_of_the_grantor_keeps_the_limit() {
-    let mut world = World::new(3, 20.0, &[10.0; 9]);
+    let mut world = World::new(3, 20.0, &[10.0; 10]);
     world.run(Duration::from_secs(5));
-    for index in 0..9 {
+    for index in 0..5 {
         world.asked[index] = 1;
-        world.run(ms(100));
     }
     world.run(Duration::from_secs(3));
+    world.asked.fill(1);
+    world.run(Duration::from_secs(3));
     world.grantors[0] = (Grantor::default(), Precedence::First);
-    for index in 0..9 {
+    for index in 0..10 {
         world.asked[index] = 0;
         world.run(ms(100));
     }
@@ -172,6 +173,22 @@
     world.assert_bound("change of the grantor");
 }
 
+/// Guards against a burst after a time in which nobody called the leaf.
+#[test]
+fn tokens_are_not_saved_up_while_nobody_needs_them() {
+    let mut world = World::new(4, 3.0, &[2.0; 40]);
+    world.run(Duration::from_secs(2));
+    for (_, rate_of_requests) in &mut world.instances {
+        *rate_of_requests = 0.0;
+    }
+    world.run(Duration::from_secs(10));
+    for (_, rate_of_requests) in &mut world.instances {
+        *rate_of_requests = 2.0;
+    }
+    world.run(Duration::from_secs(6));
+    world.assert_bound("burst after a pause");
+}
+
 /// Guards against a limit that stays after the leaf has lifted it, and against one that an answer
 /// from before it was named lifts.
 #[test]
