instance: keep entries of the store in a mirror, list once after a restore

The entries move to mirror.rs. The phases after a restore end on the mirror's own timer: what is still missing is removed, and entries of leafs that were passed over are applied, without reading everything a second and a third time, and without ending the watch. A phase begins only once the entries of the new era were read, so a store that fails again right after a restore loses nothing.

--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -8,6 +8,7 @@
 mod handover;
 mod logging;
 mod merge;
+mod mirror;
 mod pool;
 mod process;
 mod registration;
