instance: start tasks again that panic

Without the follower an instance keeps its configuration and leafs for ever; without an accept loop it takes no callers.

What was applied of the store outlives the follower, so an entry that makes it panic is not applied twice. Open connections are counted by a guard, so one that panics does not hold up a shutdown. Ruled out: ending the process, which would cut all its requests.

The mirror keeps the era now.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -1,6 +1,7 @@
 //! Keeps the state of the instance up to date with the platform's store: the configuration, leafs,
 //! evacuations, instances and rollouts.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -44,19 +45,20 @@
     probes: Store,
     // The key that probes read: the registration of this instance, which exists while it runs.
     probe_key: String,
-    mirror: Mirror,
+    // Outlives the follower: the fleet holds what was applied to it.
+    mirror: Rc<RefCell<Mirror>>,
     failing_since: Option<Instant>,
 }
 
 impl Follower {
-    /// Creates a follower that has not read from the store yet.
-    pub fn new(shared: Rc<Shared>) -> Self {
-        let store = Store::new(shared.settings.store_address);
+    /// Creates a follower that applies what it reads to `mirror`, from a full reading on.
+    pub fn new(shared: Rc<Shared>, mirror: Rc<RefCell<Mirror>>) -> Self {
+        let store = Store::in_era(shared.settings.store_address, mirror.borrow().era());
         let probes = store.sibling();
         let probe_key = key::instance(&shared.settings.name);
         Self {
-            mirror: Mirror::new(Rc::clone(&shared)),
             shared,
+            mirror,
             store,
             probes,
             probe_key,
@@ -122,7 +124,7 @@
     /// Has everything read again after a restore of the store. What the instance itself wrote may be
     /// gone, too.
     fn on_restored(&mut self, era: Era) {
-        self.mirror.on_restored(era);
+        self.mirror.borrow_mut().on_restored(era);
         self.shared.store_restored.notify_one();
     }
 
@@ -143,7 +145,7 @@
         let now = self.shared.now();
         let outage = now.saturating_duration_since(since);
         if outage >= MIN_OUTAGE {
-            self.mirror.on_outage_end();
+            self.mirror.borrow_mut().on_outage_end();
         }
         let outage_ms = u64::try_from(outage.as_millis()).unwrap_or(u64::MAX);
         log::info!(outage_ms = outage_ms; "the store answers again");
@@ -152,7 +154,9 @@
     async fn read_all(&mut self) -> Result<u64, StoreError> {
         let listing = self.store.list("").await?;
         self.on_success();
-        self.mirror.apply_listing(&listing, self.store.era());
+        self.mirror
+            .borrow_mut()
+            .apply_listing(&listing, self.store.era());
         Ok(listing.revision)
     }
 
@@ -166,7 +170,7 @@
         // the probe.
         let mut probe_at = self.shared.now();
         loop {
-            let timer = self.mirror.next_timer();
+            let timer = self.mirror.borrow().next_timer();
             let timer = async {
                 match timer {
                     Some(at) => tokio::time::sleep_until(at.into()).await,
@@ -180,7 +184,7 @@
             tokio::select! {
                 biased;
                 changes = &mut watch => return changes,
-                () = timer => self.mirror.on_timer(),
+                () = timer => self.mirror.borrow_mut().on_timer(),
                 probed = probe => {
                     let probed = probed?;
                     self.shared.last_store_answer.set(self.shared.now());
@@ -203,7 +207,7 @@
         self.on_success();
         let has_events = !changes.events.is_empty();
         log::info!(after = revision, events = changes.events.len(), revision = changes.revision, era:? = self.store.era(); "changes read from the store");
-        self.mirror.apply_changes(&changes);
+        self.mirror.borrow_mut().apply_changes(&changes);
         if has_events && !changes.is_full {
             let change_time = self.shared.bounds.get().change_time;
             tokio::time::sleep(change_time.mul_f64(BATCH_SHARE)).await;
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -1,5 +1,6 @@
 //! Starts the tasks of an instance, runs them until SIGTERM and shuts the instance down.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -7,6 +8,7 @@
 
 use camphorhold::coordination::serving::shutdown::Shutdown;
 use camphorhold::state::time::SystemClock;
+use camphorhold::transport::supervisor;
 use camphorhold_platform::settings::Settings;
 use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
@@ -18,6 +20,7 @@
 
 use crate::exposition;
 use crate::follower::Follower;
+use crate::mirror::Mirror;
 use crate::registration;
 use crate::reload::SettingsFile;
 use crate::request::Source;
@@ -88,27 +91,62 @@
     );
     let shared = Rc::new(Shared::new(settings, Box::new(SystemClock)));
     let connections = Rc::new(Connections::default());
-    tokio::task::spawn_local(Follower::new(Rc::clone(&shared)).run());
-    tokio::task::spawn_local(registration::run(Rc::clone(&shared)));
-    tokio::task::spawn_local(tokens::run(Rc::clone(&shared)));
-    tokio::task::spawn_local(server::serve_readiness(Rc::clone(&shared), readiness));
-    let accept_tasks =
-        [(callers, Source::Caller), (peers, Source::Instance)].map(|(listener, source)| {
-            tokio::task::spawn_local(server::serve_requests(
-                Rc::clone(&shared),
+    let mirror = Rc::new(RefCell::new(Mirror::new(Rc::clone(&shared))));
+    let state = Rc::clone(&shared);
+    spawn("follower", move || {
+        Follower::new(Rc::clone(&state), Rc::clone(&mirror)).run()
+    });
+    let state = Rc::clone(&shared);
+    spawn("registration", move || registration::run(Rc::clone(&state)));
+    let state = Rc::clone(&shared);
+    spawn("tokens", move || tokens::run(Rc::clone(&state)));
+    let state = Rc::clone(&shared);
+    let readiness = Rc::new(readiness);
+    spawn("readiness", move || {
+        server::serve_readiness(Rc::clone(&state), Rc::clone(&readiness))
+    });
+    let accept_tasks = [
+        ("callers", callers, Source::Caller),
+        ("peers", peers, Source::Instance),
+    ]
+    .map(|(name, listener, source)| {
+        let state = Rc::clone(&shared);
+        let connections = Rc::clone(&connections);
+        let listener = Rc::new(listener);
+        spawn(name, move || {
+            server::serve_requests(
+                Rc::clone(&state),
                 Rc::clone(&connections),
-                listener,
+                Rc::clone(&listener),
                 source,
-            ))
-        });
-    tokio::task::spawn_local(exposition::serve(metrics.0, metrics.1));
-    tokio::task::spawn_local(sweep(Rc::clone(&shared), Rc::clone(&connections)));
+            )
+        })
+    });
+    spawn("metrics", move || {
+        exposition::serve(metrics.0, metrics.1.clone())
+    });
+    let state = Rc::clone(&shared);
+    let open = Rc::clone(&connections);
+    spawn("sweep", move || sweep(Rc::clone(&state), Rc::clone(&open)));
     let mut file = SettingsFile::new(Rc::clone(&shared), path);
     wait_for_termination(&mut terminate, &mut reload, &mut file).await;
     stop(&shared, &connections, &accept_tasks).await;
     Ok(())
 }
 
+/// Starts a task that is started again if it panics. What it had read or agreed on is lost, but not
+/// the shared state.
+fn spawn<Start, Task>(name: &'static str, start: Start) -> JoinHandle<()>
+where
+    Start: FnMut() -> Task + 'static,
+    Task: Future<Output = ()> + 'static,
+{
+    tokio::task::spawn_local(supervisor::run(start, move |error| {
+        metrics::counter!("camphorhold_task_panics_total", "task" => name).increment(1);
+        log::error!(task = name, error:% = error; "task panicked; starting it again");
+    }))
+}
+
 fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, StartError> {
     server::listen(address).map_err(|source| StartError::Listen { address, source })
 }
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -107,12 +107,32 @@
         }
     }
 
+    /// Adds a connection, until the returned guard is dropped.
+    fn open(self: &Rc<Self>, activity: Rc<Activity>) -> OpenConnection {
+        OpenConnection {
+            key: self.open.borrow_mut().insert(activity),
+            connections: Rc::clone(self),
+        }
+    }
+
     /// Returns the number of open connections, idle ones included.
     pub fn len(&self) -> usize {
         self.open.borrow().len()
     }
 }
 
+/// Removes a connection when its task ends, even by a panic.
+struct OpenConnection {
+    connections: Rc<Connections>,
+    key: usize,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.connections.open.borrow_mut().remove(self.key);
+    }
+}
+
 /// A stream that records when the first byte of a request arrives.
 struct ActivityStream {
     stream: TcpStream,
@@ -183,7 +203,7 @@
 pub async fn serve_requests(
     shared: Rc<Shared>,
     connections: Rc<Connections>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     source: Source,
 ) {
     loop {
@@ -217,7 +237,7 @@
         head_since: Cell::new(None),
         close: Notify::new(),
     });
-    let key = connections.open.borrow_mut().insert(Rc::clone(&activity));
+    let _open = connections.open(Rc::clone(&activity));
     let stream = ActivityStream {
         stream,
         shared: Rc::clone(&shared),
@@ -254,7 +274,6 @@
     if let Err(error) = result {
         log::debug!(error:% = error; "connection failed");
     }
-    connections.open.borrow_mut().remove(key);
 }
 
 async fn serve_request(
@@ -283,7 +302,7 @@
 
 /// Answers the readiness checks of the load balancer until the process ends: 200 while the instance
 /// takes new requests, 503 while it starts or stops.
-pub async fn serve_readiness(shared: Rc<Shared>, listener: TcpListener) {
+pub async fn serve_readiness(shared: Rc<Shared>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -5,3 +5,4 @@
 pub mod peer;
 pub mod read_budget;
 pub mod store;
+pub mod supervisor;
