instance: do not claim tokens from oneself while stopping, bound grants

A stopping grantor refuses the claims of others, who ask a substitute, but granted its own from the full limit: up to one and a half times the limit in all, within the rule but not what the design says. It asks the substitute, too, now. An answer that grants more than was wanted, which only a faulty instance sends, is cut to that. Test that malformed claims are refused and harm nothing.

--- a/instance/src/tokens.rs
+++ b/instance/src/tokens.rs
@@ -150,6 +150,7 @@
     claims: Vec<(LeafKey, Claim)>,
 }
 
+/// Claims tokens for the calls of this instance.
 struct Claimant {
     shared: Rc<Shared>,
     // The grantors that have failed claims, and until when they are passed over.
@@ -178,10 +179,14 @@
     fn group_by_grantor(&self, claims: Vec<(LeafKey, Claim)>) -> Vec<Group> {
         let instances = self.shared.instances.borrow();
         let paused = self.paused.borrow();
+        // While it stops, the others do not ask this instance either.
+        let is_serving = self.shared.phase.get() == Phase::Serving;
+        let is_excluded = |name: &str| {
+            paused.contains_key(name) || (!is_serving && *name == *self.shared.settings.name)
+        };
         let mut groups: HashMap<&str, Group> = HashMap::new();
         for (key, claim) in claims {
-            let grantor =
-                instances.grantor(&claim.leaf, &claim.domain, |name| paused.contains_key(name));
+            let grantor = instances.grantor(&claim.leaf, &claim.domain, is_excluded);
             // Without a registered instance there are no tokens either.
             if let Some((name, address)) = grantor {
                 let group = groups.entry(name).or_insert_with(|| Group {
@@ -215,8 +220,8 @@
                 .unwrap_or(Err(ClaimError::TimedOut));
             match result {
                 Ok(granted) => {
-                    for ((key, _), tokens) in next.iter().zip(granted) {
-                        self.record(*key, tokens, sent_at);
+                    for ((key, claim), tokens) in next.iter().zip(granted) {
+                        self.record(*key, tokens.min(claim.wanted), sent_at);
                     }
                 }
                 Err(error) => {
--- a/instance/tests/limits.rs
+++ b/instance/tests/limits.rs
@@ -77,3 +77,25 @@
     assert!(busiest <= allowed, "{busiest} requests, {allowed} allowed");
     assert!(busiest > 0, "the leaf is not used at all");
 }
+
+/// Guards against an instance that ends, or grants tokens, because of a claim that is none.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_claims_are_refused() {
+    let platform = Platform::start(&[("s1", "a")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    for body in [
+        &b""[..],
+        b"{}",
+        br#"{"claimant":"2","claims":[{"leaf":1}]}"#,
+        &vec![b'['; 32 << 10],
+        &vec![b' '; 100 << 10],
+    ] {
+        let status = instance.claim_tokens(body).await;
+        assert_eq!(status, StatusCode::BAD_REQUEST, "{} bytes", body.len());
+    }
+    let impossible = br#"{"claimant":"2","claims":[{"leaf":"i-0","domain":"a","limit":-1.0,
+        "heard_ms_ago":18446744073709551615,"wanted":5,"returned":4294967295}]}"#;
+    assert_eq!(instance.claim_tokens(impossible).await, StatusCode::OK);
+    let answer = instance.send("r1", "/one/x").await;
+    assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+}
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -22,6 +22,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use nix::sys::signal::Signal;
 use tokio::io::AsyncReadExt;
@@ -149,6 +150,21 @@
         connection.exchange(request, 1 << 20).await
     }
 
+    /// Sends a claim for tokens as another instance and returns the status of its answer.
+    pub async fn claim_tokens(&self, body: &[u8]) -> StatusCode {
+        let address = self.process.peer_address();
+        let mut connection = Connection::open(address, TCP_OPTIONS).await.unwrap();
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri("/camphorhold/token-claims")
+            .header("host", "peer")
+            .header("camphorhold-token-claims", "1")
+            .body(Full::new(Bytes::copy_from_slice(body)))
+            .unwrap();
+        let answer = connection.exchange(request, 1 << 20).await;
+        answer.unwrap().status()
+    }
+
     /// Returns the largest amount of memory that the process has occupied so far, in bytes.
     pub fn peak_memory(&self) -> usize {
         let id = self.process.id().unwrap();
