--- a/instance/tests/restored.rs
+++ b/instance/tests/restored.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use camphorhold_testutils::platform::evacuation_key;
 use camphorhold_testutils::platform::leaf::Behaviour;
 use camphorhold_testutils::platform::leaf::Leaf;
 use hyper::Response;
@@ -64,7 +65,7 @@
     platform.store.restore(copy);
     platform.configure(3, &["s2"]);
     for number in 0..20 {
-        let key = format!("op/other/{number}");
+        let key = format!("other/{number}");
         platform.store.put(&key, &json!({}));
     }
     wait_for_version(&instance, 3).await;
@@ -142,7 +143,7 @@
     let platform = Platform::start(&[("s1", "a"), ("s1", "b")]).await;
     let instance = Instance::start(&platform, "1", "a").await;
     let copy = platform.store.copy();
-    platform.store.put("op/evacuate/a", &json!({}));
+    platform.store.put(&evacuation_key("a"), &json!({}));
     let send = async |id: &str| instance.send(id, "/one/x").await.unwrap();
     wait_until("the domain gets no calls", || async {
         stamp(&send("r").await).starts_with("i-1-")
