instance: let the short soak play limits, too

Seed 4 draws two restores and no limit, so the test did not do what its name says. Seed 5 draws two restores and three limits, two of which last beyond the other faults, so that the bound is checked.

--- a/instance/tests/soak.rs
+++ b/instance/tests/soak.rs
@@ -35,7 +35,7 @@
 /// limits.
 #[test]
 fn promises_hold_with_restores_and_limits() {
-    run_with(4, 12, true);
+    run_with(5, 12, true);
 }
 
 /// Guards against a false finding of the soak: two evacuations of one failure domain overlapped,
