instance: tell lost connections and repeated requests in logs and metrics

A call whose connection was lost counted as failed, like one that was answered with an error, so the logs could not show whether a leaf had ended under a request. It has an outcome of its own now (label lost), and the line at the end of a request has a fingerprint of what stays the same when the request comes again. What is sent and when is unchanged.

--- a/instance/src/answer.rs
+++ b/instance/src/answer.rs
@@ -116,6 +116,7 @@
         let missing = &missing[..missing.len().min(MAX_LOGGED_SHARDS)];
         log::info!(
             request = forwarded.id(),
+            fingerprint:% = forwarded.fingerprint(),
             route = &*forwarded.route.name,
             outcome = outcome,
             answered = coverage.answered,
--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -12,6 +12,7 @@
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::LimitChange;
 use camphorhold::coordination::serving::retry_budget::ExtraCall;
+use camphorhold::state::id::Fingerprint;
 use camphorhold::state::plan::CallSemantics;
 use camphorhold::state::plan::Route;
 use camphorhold::state::plan::Target;
@@ -28,9 +29,11 @@
 use hyper::StatusCode;
 use hyper::Uri;
 use hyper::header::CONTENT_ENCODING;
+use hyper::header::HOST;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use thiserror::Error;
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::shared::Shared;
 
@@ -79,6 +82,28 @@
 }
 
 impl ForwardedRequest {
+    /// Returns what stays the same when a caller sends the request again: a hash of its method,
+    /// host, path, query and body.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let host = self
+            .headers
+            .get(HOST)
+            .map_or(&b""[..], HeaderValue::as_bytes);
+        let mut hash = Xxh3Default::new();
+        let parts = [
+            self.method.as_str().as_bytes(),
+            host,
+            self.uri.path().as_bytes(),
+            self.uri.query().unwrap_or_default().as_bytes(),
+            &self.body,
+        ];
+        for part in parts {
+            hash.update(&part.len().to_le_bytes());
+            hash.update(part);
+        }
+        Fingerprint(hash.digest())
+    }
+
     /// Returns the caller's request id, or an empty string as [`request_id`] does.
     pub fn id(&self) -> &str {
         request_id(&self.headers)
@@ -218,7 +243,7 @@
             (Outcome::Failed, CallResult::Failed)
         }
         Some(CallError::NotConnected) => (Outcome::Unsent, CallResult::Disconnected),
-        Some(CallError::ConnectionLost) => (Outcome::Failed, CallResult::Disconnected),
+        Some(CallError::ConnectionLost) => (Outcome::Lost, CallResult::Disconnected),
     };
     if outcome == Outcome::Answered {
         shared.record_latency(&forwarded.route, latency);
@@ -242,6 +267,7 @@
         Outcome::NotRun => "not_run",
         Outcome::Unsent => "unsent",
         Outcome::Failed => "failed",
+        Outcome::Lost => "lost",
     }
 }
 
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -254,7 +254,7 @@
                 }));
             }
             Outcome::Failed => self.failure = end.answer.or(self.failure.take()),
-            Outcome::Answered | Outcome::NotRun | Outcome::Unsent => {}
+            Outcome::Answered | Outcome::NotRun | Outcome::Unsent | Outcome::Lost => {}
         }
     }
 
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -124,7 +124,7 @@
     ) {
         let progress = &mut self.shards[shard];
         progress.in_flight.retain(|key| *key != leaf);
-        if matches!(outcome, Outcome::Answered | Outcome::Failed) {
+        if outcome.may_have_run() {
             self.may_have_run = true;
         }
         if progress.state != State::Open {
@@ -143,10 +143,10 @@
                 }
             }
             Outcome::NotRun => self.retry(shard, context, calls),
-            Outcome::Failed if self.semantics == CallSemantics::Idempotent => {
+            Outcome::Failed | Outcome::Lost if self.semantics == CallSemantics::Idempotent => {
                 self.retry(shard, context, calls);
             }
-            Outcome::Failed => self.fail(shard, context),
+            Outcome::Failed | Outcome::Lost => self.fail(shard, context),
         }
     }
 
@@ -163,7 +163,7 @@
     ) {
         let progress = &mut self.shards[shard];
         progress.pending_handovers = progress.pending_handovers.saturating_sub(1);
-        if matches!(outcome, Outcome::Answered | Outcome::Failed) {
+        if outcome.may_have_run() {
             self.may_have_run = true;
         }
         if progress.state != State::Open {
@@ -174,7 +174,7 @@
                 self.answer(shard, context);
                 return;
             }
-            Outcome::Failed => progress.sent_calls += 1,
+            Outcome::Failed | Outcome::Lost => progress.sent_calls += 1,
             Outcome::NotRun | Outcome::Unsent => {
                 // The next queries will need the connection too, until the other instance takes
                 // handovers again.
@@ -189,7 +189,7 @@
         }
         let may_run_again = self.semantics == CallSemantics::Idempotent
             && self.other_instance_left_leafs(shard, context);
-        if outcome == Outcome::Failed && !may_run_again {
+        if outcome.may_have_run() && !may_run_again {
             self.fail(shard, context);
             return;
         }
--- a/lib/src/coordination/serving/fanout/message.rs
+++ b/lib/src/coordination/serving/fanout/message.rs
@@ -90,6 +90,19 @@
     Unsent,
     /// The leaf failed, or may have run the request without an answer.
     Failed,
+    /// The connection was lost before the answer was complete. The leaf may have run the request,
+    /// and may have ended.
+    Lost,
+}
+
+impl Outcome {
+    /// Returns whether a leaf may have run the request.
+    pub(super) fn may_have_run(self) -> bool {
+        match self {
+            Self::Answered | Self::Failed | Self::Lost => true,
+            Self::NotRun | Self::Unsent => false,
+        }
+    }
 }
 
 /// Why a request has no answer.
