--- /dev/null
+++ b/instance/tests/poison.rs
@@ -0,0 +1,135 @@
+//! Tests of requests that end each leaf that runs them. The instances run as processes against the
+//! stand-ins of the platform.
+
+mod support;
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use support::Instance;
+use support::Platform;
+use support::wait_until;
+
+/// The leafs that a request may end before it counts as harmful, and how many more times it may
+/// reach leafs afterwards.
+const ENDED_LEAFS: usize = 3;
+const FURTHER_RUNS: usize = 3;
+
+/// The pause between two attempts of a caller. The leafs that an attempt has ended are back after
+/// it.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+async fn start_instances(platform: &Platform) -> Vec<Instance> {
+    let mut instances = Vec::new();
+    for (name, domain) in [("1", "a"), ("2", "a"), ("3", "b")] {
+        instances.push(Instance::start(platform, name, domain).await);
+    }
+    instances
+}
+
+fn ends(platform: &Platform) -> usize {
+    platform.leafs.iter().map(|leaf| leaf.ends()).sum()
+}
+
+/// Returns the number of requests with this path that leafs have begun to run.
+fn runs(platform: &Platform, path: &str) -> usize {
+    let runs = platform.leafs.iter().flat_map(|leaf| leaf.runs());
+    runs.filter(|run| run.path == path).count()
+}
+
+/// Sends a request to each instance in turn, as a caller that tries again and again.
+async fn repeat(instances: &[Instance], path: &str, attempts: usize) {
+    for attempt in 0..attempts {
+        let instance = &instances[attempt % instances.len()];
+        let answer = instance.send(&format!("r{attempt}"), path).await;
+        let status = answer.unwrap().status();
+        assert!(!status.is_success(), "attempt {attempt}: {status}");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Guards against a request that ends one leaf after the other, because each attempt at each
+/// instance is treated as the first one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ends_leafs_is_not_sent_again_and_again() {
+    let leafs = [("s1", "a"), ("s1", "a"), ("s1", "b"), ("s1", "b")];
+    let platform = Platform::start(&leafs).await;
+    let instances = start_instances(&platform).await;
+    for leaf in &platform.leafs {
+        leaf.set_poison(Some("/one/bad"));
+    }
+    repeat(&instances, "/one/bad", 8).await;
+    let runs = runs(&platform, "/one/bad");
+    assert!(runs <= ENDED_LEAFS + FURTHER_RUNS, "run {runs} times");
+    assert!(ends(&platform) > 0);
+    for instance in &instances {
+        let answer = instance.send("good", "/one/good").await.unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+}
+
+/// Guards against a query that ends a leaf of every shard each time it comes, and a second leaf of
+/// every shard when it is retried.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_query_that_ends_leafs_is_not_sent_again_and_again() {
+    const SHARDS: [&str; 6] = ["s1", "s2", "s3", "s4", "s5", "s6"];
+    let leafs: Vec<(&str, &str)> = SHARDS
+        .iter()
+        .flat_map(|shard| [(*shard, "a"), (*shard, "b")])
+        .collect();
+    let platform = Platform::start(&leafs).await;
+    let instances = start_instances(&platform).await;
+    for leaf in &platform.leafs {
+        leaf.set_poison(Some("/all/bad"));
+    }
+    repeat(&instances, "/all/bad", 1).await;
+    let first = runs(&platform, "/all/bad");
+    assert!(first <= SHARDS.len() + 1, "first run by {first} leafs");
+    repeat(&instances, "/all/bad", 7).await;
+    let further = runs(&platform, "/all/bad") - first;
+    assert!(further <= FURTHER_RUNS, "run {further} more times");
+    let answer = instances[0].send("good", "/all/good").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+}
+
+/// Guards against an instance that sends a harmful request again after a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_instance_knows_the_requests_that_end_leafs() {
+    let platform = Platform::start(&[("s1", "a"), ("s1", "a"), ("s1", "a")]).await;
+    let mut instances = start_instances(&platform).await;
+    for leaf in &platform.leafs {
+        leaf.set_poison(Some("/one/bad"));
+    }
+    repeat(&instances, "/one/bad", 4).await;
+    let before = runs(&platform, "/one/bad");
+    for instance in &mut instances {
+        instance.kill();
+        instance.restart().await;
+    }
+    repeat(&instances, "/one/bad", 3).await;
+    assert_eq!(runs(&platform, "/one/bad"), before);
+}
+
+/// Guards against a harmless request that is refused because leafs ended while they ran it: the
+/// next attempt is answered, and so are those after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_harmless_request_is_answered_after_leafs_ended_under_it() {
+    let platform = Platform::start(&[("s1", "a"), ("s1", "a")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    for leaf in &platform.leafs {
+        leaf.set_poison(Some("/one/good"));
+    }
+    repeat(std::slice::from_ref(&instance), "/one/good", 1).await;
+    for leaf in &platform.leafs {
+        leaf.set_poison(None);
+    }
+    wait_until("the request is answered", || async {
+        let answer = instance.send("r1", "/one/good").await.unwrap();
+        answer.status() == StatusCode::OK
+    })
+    .await;
+    for attempt in 0..5 {
+        let answer = instance.send(&format!("r{attempt}"), "/one/good").await;
+        assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    }
+}
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -15,12 +15,16 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use crate::server;
 
 /// How long [`Behaviour::Reset`] waits between the bytes that it sends and the reset.
 const RESET_DELAY: Duration = Duration::from_millis(100);
 
+/// How long a leaf that a request has ended is down.
+const RESTART_TIME: Duration = Duration::from_millis(1_200);
+
 /// How a leaf responds to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -134,6 +138,8 @@
 /// A request that a leaf has started to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
+    /// The path of the request, without its query.
+    pub path: String,
     /// The value of `X-Camphorhold-Request-Id`; empty if the header is missing.
     pub request: String,
     /// The value of `X-Camphorhold-Deadline-Ms`: the time that the sender allows for the request,
@@ -152,6 +158,7 @@
 struct State {
     behaviour: Behaviour,
     limit: Option<f64>,
+    poison: Option<String>,
     runs: Vec<Run>,
     open_connections: usize,
 }
@@ -164,6 +171,8 @@
     domain: String,
     address: SocketAddr,
     state: Arc<Mutex<State>>,
+    // The number of times that a request has ended it.
+    ends: watch::Sender<usize>,
 }
 
 impl Leaf {
@@ -180,6 +189,7 @@
             domain: domain.into(),
             address,
             state: Arc::default(),
+            ends: watch::Sender::new(0),
         };
         tokio::spawn(serve(listener, leaf.clone()));
         Ok(leaf)
@@ -248,6 +258,18 @@
         self.lock().limit = limit;
     }
 
+    /// Sets the path of requests that end it as soon as it runs them: it closes all connections and
+    /// refuses new ones for [`RESTART_TIME`].
+    pub fn set_poison(&self, path: Option<&str>) {
+        self.lock().poison = path.map(str::to_owned);
+    }
+
+    /// Returns how many times a request has ended it.
+    #[must_use]
+    pub fn ends(&self) -> usize {
+        *self.ends.borrow()
+    }
+
     /// Returns the requests it has started to run, oldest first.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -283,27 +305,56 @@
     )
 }
 
-async fn serve(listener: TcpListener, leaf: Leaf) {
+async fn serve(mut listener: TcpListener, leaf: Leaf) {
+    let mut ended = leaf.ends.subscribe();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(server::ACCEPT_RETRY).await;
-            continue;
-        };
-        let leaf = leaf.clone();
-        tokio::spawn(async move {
-            leaf.lock().open_connections += 1;
-            if let Err(error) = serve_connection(stream, &leaf).await {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(serve_until_end(stream, leaf.clone()));
+                }
+                Err(_) => tokio::time::sleep(server::ACCEPT_RETRY).await,
+            },
+            _ = ended.changed() => {
+                drop(listener);
+                tokio::time::sleep(RESTART_TIME).await;
+                listener = loop {
+                    match server::bind(leaf.address).await {
+                        Ok((listener, _)) => break listener,
+                        Err(_) => tokio::time::sleep(server::ACCEPT_RETRY).await,
+                    }
+                };
+                // Requests that ran at the moment of the end count as one end.
+                ended.mark_unchanged();
+            }
+        }
+    }
+}
+
+/// Serves a connection until it ends or a request ends the leaf.
+async fn serve_until_end(stream: TcpStream, leaf: Leaf) {
+    leaf.lock().open_connections += 1;
+    let mut ended = leaf.ends.subscribe();
+    tokio::select! {
+        result = serve_connection(stream, &leaf) => {
+            if let Err(error) = result {
                 log::debug!("connection to the stand-in leaf failed: {error}");
             }
-            leaf.lock().open_connections -= 1;
-        });
+        }
+        _ = ended.changed() => {}
     }
+    leaf.lock().open_connections -= 1;
 }
 
 async fn serve_connection(mut stream: TcpStream, leaf: &Leaf) -> std::io::Result<()> {
     while let Some(run) = read_request(&mut stream).await? {
         let behaviour = leaf.lock().behaviour;
         let id = run.request.clone();
+        if leaf.lock().poison.as_ref() == Some(&run.path) {
+            leaf.lock().runs.push(run);
+            leaf.ends.send_modify(|ends| *ends += 1);
+            return Ok(());
+        }
         if !matches!(behaviour, Behaviour::Refuse | Behaviour::Misdirect) {
             leaf.lock().runs.push(run);
         }
@@ -360,6 +411,8 @@
         }
     }
     let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let target = head.split(' ').nth(1).unwrap_or_default();
+    let path = target.split('?').next().unwrap_or_default().to_owned();
     let value = |name: &str| {
         let line = head.lines().find_map(|line| line.strip_prefix(name));
         line.map_or("", |value| value.trim_start_matches(':').trim())
@@ -368,6 +421,7 @@
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
     Ok(Some(Run {
+        path,
         request: value("x-camphorhold-request-id").into(),
         deadline_ms: value("x-camphorhold-deadline-ms").parse().unwrap_or(0),
         expected_leaf: value("x-camphorhold-expect-instance").into(),
