serving: refuse requests that end leafs, at all instances

What callers saw: a request that ends each leaf that runs it took down leaf after leaf with every attempt, and others' requests with them.

Cause: a lost connection was attributed to the leaf only. Nothing about the request outlived the attempt or the instance. Evidence: the attempts share a fingerprint in the logs, and no decision depended on it.

Change: within an attempt, lost calls are replaced by one canary until a leaf has survived. An attempt without a survivor, under which a leaf ended (it refuses connections while another one accepts them), is counted in the store, which all instances follow.

Not taken: blocking after one attempt, because leafs end for other reasons, too; a test keeps a harmless request answered after leafs ended under it.

--- a/instance/src/answer.rs
+++ b/instance/src/answer.rs
@@ -48,8 +48,12 @@
             .iter()
             .filter_map(|position| handover_request.shards.get(*position).copied())
             .collect();
+        let lost = self
+            .loss
+            .as_ref()
+            .map_or(Vec::new(), |loss| loss.leafs.clone());
         let mut response = self.respond(plan, forwarded, origin);
-        handover::add_answer_headers(shared, response.headers_mut(), &answered);
+        handover::add_answer_headers(shared, response.headers_mut(), &answered, &lost);
         response
     }
 
--- /dev/null
+++ b/instance/src/crashes.rs
@@ -0,0 +1,232 @@
+//! Requests that end the leafs that run them: finds them, and refuses them at all instances.
+//!
+//! A request without any surviving leaf, under which the connection to a leaf was lost that then
+//! refuses connections, has ended the leaf. The count of such attempts is written to the store, from
+//! which all instances read it. The next attempt has to be survived by one leaf before the others
+//! get it, and if it is not, the request is refused from then on.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorhold::coordination::poison;
+use camphorhold::coordination::poison::Admission;
+use camphorhold::coordination::poison::EXPIRY;
+use camphorhold::coordination::serving::fleet::LeafKey;
+use camphorhold::state::id::Fingerprint;
+use camphorhold_platform::key;
+use camphorhold_platform::store::Put;
+use camphorhold_platform::store::Store;
+use camphorhold_platform::store::StoreError;
+use futures::future::join_all;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpStream;
+
+use crate::call::ForwardedRequest;
+use crate::gather::FinishedRequest;
+use crate::gather::Loss;
+use crate::shared::Shared;
+
+/// How long a leaf may take to accept a connection until it counts as ended.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The number of other leafs of which one has to accept a connection, so that the loss of
+/// connections is not that of the network.
+const MAX_REFERENCES: usize = 3;
+
+/// How long a caller should wait while the canary of the same request runs.
+const CANARY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause before a failed write to the store is repeated.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// The count of a request, as stored in JSON.
+#[derive(Deserialize, Serialize)]
+struct Crashes {
+    // The attempts under which leafs have ended.
+    attempts: u32,
+}
+
+/// Applies the count of a request that is in the store.
+pub fn on_item(shared: &Shared, fingerprint: &str, value: Option<&[u8]>) {
+    let crashes = serde_json::from_slice::<Crashes>(value.unwrap_or_default());
+    match (fingerprint.parse::<Fingerprint>(), crashes) {
+        (Ok(fingerprint), Ok(crashes)) => {
+            log::info!(fingerprint:% = fingerprint, attempts = crashes.attempts; "leafs have ended under a request");
+            let mut poison = shared.poison.borrow_mut();
+            poison.merge(fingerprint, crashes.attempts, EXPIRY, shared.now());
+        }
+        (Err(error), _) => {
+            log::warn!(fingerprint = fingerprint, error:% = error; "invalid fingerprint in the store ignored");
+        }
+        (_, Err(error)) => {
+            log::warn!(fingerprint = fingerprint, error:% = error; "invalid count of ended leafs in the store ignored");
+        }
+    }
+}
+
+/// One attempt of a request that may end leafs. Dropped before its end, it says nothing about the
+/// request.
+pub struct Trial {
+    shared: Rc<Shared>,
+    forwarded: Rc<ForwardedRequest>,
+    // The fingerprint of a request that has ended leafs before.
+    canary: Option<Fingerprint>,
+}
+
+/// Decides whether a request of a caller may be sent to leafs.
+///
+/// # Errors
+///
+/// Returns the time after which the caller may send the request again, if it has ended too many
+/// leafs or another attempt is being tried on one leaf.
+pub fn admit(shared: &Rc<Shared>, forwarded: &Rc<ForwardedRequest>) -> Result<Trial, Duration> {
+    let trial = |canary| Trial {
+        shared: Rc::clone(shared),
+        forwarded: Rc::clone(forwarded),
+        canary,
+    };
+    if shared.poison.borrow().is_empty() {
+        return Ok(trial(None));
+    }
+    let fingerprint = forwarded.fingerprint();
+    let now = shared.now();
+    let admission = shared.poison.borrow_mut().admit_suspect(fingerprint, now);
+    let (reason, pause) = match admission {
+        Admission::KnownGood => return Ok(trial(None)),
+        Admission::RunCanary => return Ok(trial(Some(fingerprint))),
+        Admission::WaitForCanary | Admission::Full => ("is being tried", CANARY_PAUSE),
+        Admission::Blocked { until } => ("is blocked", until.saturating_duration_since(now)),
+    };
+    metrics::counter!("camphorhold_requests_total", "outcome" => "blocked").increment(1);
+    log::info!(request = forwarded.id(), fingerprint:% = fingerprint, reason = reason; "request refused: leafs have ended under it");
+    Err(pause)
+}
+
+impl Trial {
+    /// Returns whether a leaf has to survive the request before it is sent to another one.
+    pub fn is_canary(&self) -> bool {
+        self.canary.is_some()
+    }
+
+    /// Finds out, without delaying the answer, whether the request has ended leafs.
+    pub fn end(mut self, finished: &FinishedRequest) {
+        let Some(loss) = finished.loss.clone() else {
+            if finished.has_survivor
+                && let Some(fingerprint) = self.canary.take()
+            {
+                self.finish_canary(fingerprint, poison::Outcome::Ok);
+            }
+            return;
+        };
+        tokio::task::spawn_local(async move {
+            if has_ended_leafs(&self.shared, &loss).await {
+                self.record_crash();
+            }
+        });
+    }
+
+    fn record_crash(&mut self) {
+        let canary = self.canary.take();
+        let fingerprint = canary.unwrap_or_else(|| self.forwarded.fingerprint());
+        let now = self.shared.now();
+        let mut poison = self.shared.poison.borrow_mut();
+        if canary.is_some() {
+            poison.canary_finished(fingerprint, poison::Outcome::Crashed, now);
+        } else {
+            poison.crashed(fingerprint, now);
+        }
+        let attempts = poison.crashes(fingerprint);
+        drop(poison);
+        metrics::counter!("camphorhold_leaf_crashes_total").increment(1);
+        log::warn!(request = self.forwarded.id(), fingerprint:% = fingerprint, route = &*self.forwarded.route.name, attempts = attempts; "leafs ended under a request");
+        self.shared
+            .unwritten_crashes
+            .borrow_mut()
+            .insert(fingerprint);
+        self.shared.crash_recorded.notify_one();
+    }
+
+    fn finish_canary(&self, fingerprint: Fingerprint, outcome: poison::Outcome) {
+        let mut poison = self.shared.poison.borrow_mut();
+        poison.canary_finished(fingerprint, outcome, self.shared.now());
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        if let Some(fingerprint) = self.canary.take() {
+            self.finish_canary(fingerprint, poison::Outcome::Survived);
+        }
+    }
+}
+
+/// Returns whether one of the leafs refuses connections while another leaf accepts them.
+async fn has_ended_leafs(shared: &Shared, loss: &Loss) -> bool {
+    let references = shared
+        .fleet
+        .borrow()
+        .sample(&loss.called, MAX_REFERENCES, shared.jitter());
+    let accepts = |leaf: &LeafKey| accepts_connections(shared, *leaf);
+    let (lost_accept, references_accept) = tokio::join!(
+        join_all(loss.leafs.iter().map(accepts)),
+        join_all(references.iter().map(accepts))
+    );
+    lost_accept.contains(&false) && references_accept.contains(&true)
+}
+
+async fn accepts_connections(shared: &Shared, leaf: LeafKey) -> bool {
+    let address = shared
+        .fleet
+        .borrow()
+        .get(leaf)
+        .map(|leaf| leaf.entry().address);
+    let Some(address) = address else {
+        return false;
+    };
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    matches!(connecting.await, Ok(Ok(_)))
+}
+
+/// Writes the counts of requests that have ended leafs to the store, until the process ends.
+pub async fn run(shared: Rc<Shared>) {
+    let mut store = Store::new(shared.settings.store_address);
+    loop {
+        shared.crash_recorded.notified().await;
+        loop {
+            let unwritten: HashSet<Fingerprint> = shared.unwritten_crashes.take();
+            if unwritten.is_empty() {
+                break;
+            }
+            for fingerprint in unwritten {
+                if let Err(error) = write(&mut store, &shared, fingerprint).await {
+                    log::warn!(fingerprint:% = fingerprint, error:% = error; "cannot write that leafs ended under a request; retrying");
+                    shared.unwritten_crashes.borrow_mut().insert(fingerprint);
+                }
+            }
+            if !shared.unwritten_crashes.borrow().is_empty() {
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn write(
+    store: &mut Store,
+    shared: &Shared,
+    fingerprint: Fingerprint,
+) -> Result<(), StoreError> {
+    let attempts = shared.poison.borrow().crashes(fingerprint);
+    if attempts == 0 {
+        return Ok(());
+    }
+    let value = serde_json::to_vec(&Crashes { attempts })?;
+    let lease = store.grant(EXPIRY).await?;
+    let put = Put {
+        key: &key::crashes(fingerprint),
+        value: &value,
+        lease: Some(lease.id),
+    };
+    store.put(put).await
+}
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -13,6 +13,7 @@
 use camphorhold::coordination::serving::fanout::Outcome;
 use camphorhold::coordination::serving::fanout::Summary;
 use camphorhold::coordination::serving::fanout::Verdict;
+use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::instances::HandoverRole;
 use camphorhold::coordination::serving::instances::ShardGroup;
 use futures::StreamExt;
@@ -39,6 +40,9 @@
 /// The most call errors in the log line of a request. A query may have hundreds.
 const MAX_LOGGED_ERRORS: usize = 6;
 
+/// The most leafs with lost connections that are remembered for one request.
+const MAX_LOST_LEAFS: usize = 3;
+
 /// The result of a request, from which the response is built.
 pub struct FinishedRequest {
     /// When the verdict was reached.
@@ -56,6 +60,19 @@
     /// The first [`MAX_LOGGED_ERRORS`] calls and handovers without a usable answer, each as the id
     /// of the leaf or instance and the reason.
     pub call_errors: Vec<String>,
+    /// The lost connections, if no leaf has survived the request.
+    pub loss: Option<Loss>,
+    /// Whether a leaf has survived the request.
+    pub has_survivor: bool,
+}
+
+/// Connections to leafs that were lost under a request that no leaf has survived.
+#[derive(Clone, Debug)]
+pub struct Loss {
+    /// The first [`MAX_LOST_LEAFS`] leafs.
+    pub leafs: Vec<LeafKey>,
+    /// All leafs that this instance has called.
+    pub called: Vec<LeafKey>,
 }
 
 /// An answer that is part of the result.
@@ -85,6 +102,7 @@
     parts: Vec<Part>,
     failure: Option<Response<Bytes>>,
     call_errors: Vec<String>,
+    lost: Vec<LeafKey>,
 }
 
 /// Hands `groups` over and makes the other calls of a request, until the fan-out reaches a verdict.
@@ -163,6 +181,7 @@
             parts: Vec::with_capacity(shards),
             failure: None,
             call_errors: Vec::new(),
+            lost: Vec::new(),
         }
     }
 
@@ -239,6 +258,9 @@
             let id = fleet.get(end.leaf).map_or("gone", |leaf| &leaf.entry().id);
             self.call_errors.push(format!("{id} {call_error}"));
         }
+        if end.outcome == Outcome::Lost {
+            self.on_lost(end.leaf);
+        }
         let answered_before = self.fanout.coverage().answered;
         with_context(self.shared, |context| {
             let new_calls = &mut self.new_calls;
@@ -258,13 +280,24 @@
         }
     }
 
+    fn on_lost(&mut self, leaf: LeafKey) {
+        if self.lost.len() < MAX_LOST_LEAFS && !self.lost.contains(&leaf) {
+            self.lost.push(leaf);
+        }
+    }
+
     fn on_handover_end(&mut self, end: handover::End) {
         let handover::End {
             group,
             mut answered,
             mut rest_outcome,
             answer,
+            lost,
         } = end;
+        for leaf in lost {
+            self.fanout.on_lost_elsewhere();
+            self.on_lost(leaf);
+        }
         self.pending.retain(|pending| pending.group != group);
         if answered.is_empty() && self.call_errors.len() < MAX_LOGGED_ERRORS {
             self.call_errors
@@ -332,6 +365,7 @@
 
     fn finish(mut self, verdict: Verdict) -> FinishedRequest {
         let now = self.shared.now();
+        let has_survivor = self.fanout.has_survivor();
         FinishedRequest {
             ended: now,
             store_age: now.saturating_duration_since(self.shared.last_store_answer.get()),
@@ -340,6 +374,11 @@
             parts: self.parts.drain(..).map(|part| part.answer).collect(),
             failure: self.failure.take(),
             call_errors: std::mem::take(&mut self.call_errors),
+            loss: (!has_survivor && !self.lost.is_empty()).then(|| Loss {
+                leafs: std::mem::take(&mut self.lost),
+                called: self.fanout.called_leafs().collect(),
+            }),
+            has_survivor,
         }
     }
 }
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -17,6 +17,7 @@
 
 use bytes::Bytes;
 use camphorhold::coordination::serving::fanout::Outcome;
+use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::instances::HandoverOutcome;
 use camphorhold::coordination::serving::instances::HandoverRole;
 use camphorhold::coordination::serving::instances::ShardGroup;
@@ -55,6 +56,10 @@
 /// In an answer, the names of the instances that have just failed the sender's own handovers.
 const FAILED_HEADER: HeaderName = HeaderName::from_static("camphorhold-failed-instances");
 
+/// In an answer, the ids of leafs whose connections were lost under the request, if none survived
+/// it.
+const LOST_HEADER: HeaderName = HeaderName::from_static("camphorhold-lost-leafs");
+
 const COORDINATOR: HeaderValue = HeaderValue::from_static("coordinator");
 const OWNER: HeaderValue = HeaderValue::from_static("owner");
 
@@ -176,12 +181,27 @@
     }
 }
 
-/// Adds the headers of an answer to another instance: the positions of the answered shards, and the
-/// instances that have failed handovers.
-pub fn add_answer_headers(shared: &Shared, headers: &mut HeaderMap, answered: &[usize]) {
+/// Adds the headers of an answer to another instance: the positions of the answered shards, the
+/// leafs that were lost, and the instances that have failed handovers.
+pub fn add_answer_headers(
+    shared: &Shared,
+    headers: &mut HeaderMap,
+    answered: &[usize],
+    lost: &[LeafKey],
+) {
     if let Ok(answered) = HeaderValue::from_str(&join(answered)) {
         headers.insert(HEADER, answered);
     }
+    let fleet = shared.fleet.borrow();
+    let lost: Vec<&str> = lost
+        .iter()
+        .filter_map(|leaf| Some(&*fleet.get(*leaf)?.entry().id))
+        .collect();
+    if !lost.is_empty()
+        && let Ok(lost) = HeaderValue::from_str(&lost.join(","))
+    {
+        headers.insert(LOST_HEADER, lost);
+    }
     let instances = shared.instances.borrow();
     let failed: Vec<&str> = instances.failed(shared.now()).collect();
     if !failed.is_empty()
@@ -191,6 +211,14 @@
     }
 }
 
+fn lost_leafs(shared: &Shared, answer: &Response<Bytes>) -> Vec<LeafKey> {
+    let Some(Ok(lost)) = answer.headers().get(LOST_HEADER).map(HeaderValue::to_str) else {
+        return Vec::new();
+    };
+    let fleet = shared.fleet.borrow();
+    lost.split(',').filter_map(|id| fleet.find(id)).collect()
+}
+
 fn record_reports(shared: &Shared, reporter: &str, answer: &Response<Bytes>) {
     let Some(Ok(failed)) = answer.headers().get(FAILED_HEADER).map(HeaderValue::to_str) else {
         return;
@@ -222,6 +250,8 @@
     pub rest_outcome: Outcome,
     /// The merged answer, if one arrived and it lists the shards that it covers.
     pub answer: Option<Response<Bytes>>,
+    /// Leafs whose connections were lost under the request, if none survived it.
+    pub lost: Vec<LeafKey>,
 }
 
 impl End {
@@ -231,18 +261,21 @@
             answered: Vec::new(),
             rest_outcome,
             answer: None,
+            lost: Vec::new(),
         }
     }
 
     /// The shards that the answer does not cover may have run. So may all of them, if it does not
     /// list valid ones.
     fn with_answer(
+        shared: &Shared,
         group: ShardGroup,
         answer: Response<Bytes>,
         handover_request: &HandoverRequest,
     ) -> Self {
         let answered = answered_shards(&answer, handover_request, &group);
         Self {
+            lost: lost_leafs(shared, &answer),
             group,
             answer: answered.is_some().then_some(answer),
             answered: answered.unwrap_or_default(),
@@ -329,7 +362,7 @@
     let timeout = handover_request.due_in + slack;
     let shared = Rc::clone(&in_flight.shared);
     let mut exchange = Box::pin(exchange(
-        shared,
+        Rc::clone(&shared),
         Rc::clone(&forwarded),
         handover_request.clone(),
         group.clone(),
@@ -342,11 +375,14 @@
     in_flight.end(&result);
     match result {
         Ok(answer) => match answer.status() {
-            StatusCode::OK => End::with_answer(group, answer, &handover_request),
+            StatusCode::OK => End::with_answer(&shared, group, answer, &handover_request),
             StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
                 End::without_answer(group, Outcome::NotRun)
             }
-            _ => End::without_answer(group, Outcome::Failed),
+            _ => End {
+                lost: lost_leafs(&shared, &answer),
+                ..End::without_answer(group, Outcome::Failed)
+            },
         },
         Err(error) => {
             log::info!(request = forwarded.id(), instance = &*group.name, error:% = error; "handover to instance failed");
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod crashes;
 mod exposition;
 mod follower;
 mod gather;
--- a/instance/src/mirror.rs
+++ b/instance/src/mirror.rs
@@ -17,6 +17,7 @@
 use camphorhold_platform::store::Item;
 use camphorhold_platform::store::Listing;
 
+use crate::crashes;
 use crate::registration;
 use crate::shared::Phase;
 use crate::shared::Shared;
@@ -229,6 +230,7 @@
             }
             Key::Evacuation(domain) => self.on_evacuation(domain, true),
             Key::Instance(name) => self.on_instance(name, value),
+            Key::Crashes(fingerprint) => crashes::on_item(&self.shared, fingerprint, value),
             Key::RolloutSpec(service) => self.on_rollout(service, value),
             Key::RolloutStatus(_) | Key::Other => {}
         }
@@ -252,7 +254,8 @@
                     .borrow_mut()
                     .set_excluded_version(service, None);
             }
-            Key::Configuration | Key::RolloutStatus(_) | Key::Other => {}
+            // Counts expire by themselves.
+            Key::Configuration | Key::Crashes(_) | Key::RolloutStatus(_) | Key::Other => {}
         }
     }
 
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
+use crate::crashes;
 use crate::exposition;
 use crate::follower::Follower;
 use crate::mirror::Mirror;
@@ -101,6 +102,8 @@
     let state = Rc::clone(&shared);
     spawn("tokens", move || tokens::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
+    spawn("crashes", move || crashes::run(Rc::clone(&state)));
+    let state = Rc::clone(&shared);
     let readiness = Rc::new(readiness);
     spawn("readiness", move || {
         server::serve_readiness(Rc::clone(&state), Rc::clone(&readiness))
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -45,6 +45,7 @@
 use crate::answer::retry_after;
 use crate::call::ForwardedRequest;
 use crate::call::request_id;
+use crate::crashes;
 use crate::gather;
 use crate::handover;
 use crate::handover::HandoverRequest;
@@ -211,8 +212,18 @@
         if let Err(pause) = skip_unavailable_shards(&shared, &forwarded, &mut request, wait) {
             return refuse(pause);
         }
-        let groups = assign_handovers(&shared, &forwarded.route, &mut request);
+        let trial = match crashes::admit(&shared, &forwarded) {
+            Ok(trial) => trial,
+            Err(pause) => return refuse(pause),
+        };
+        request.is_suspect = trial.is_canary();
+        let groups = if request.is_suspect {
+            Vec::new()
+        } else {
+            assign_handovers(&shared, &forwarded.route, &mut request)
+        };
         let end = gather::run(&shared, &forwarded, request, query, groups).await;
+        trial.end(&end);
         return end.respond(&plan, &forwarded, origin);
     };
     limit_to_due_time(
@@ -322,6 +333,7 @@
         semantics: route.semantics,
         min_coverage,
         max_leafs: route.max_leafs,
+        is_suspect: false,
         hedge_delay: (route.semantics == CallSemantics::Idempotent).then_some(hedge_delay),
         refuse_by: origin.arrived + route.objective.mul_f64(REFUSAL_SHARE),
         answer_by,
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -3,12 +3,14 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use camphorhold::coordination::hedge::Delay;
+use camphorhold::coordination::poison;
 use camphorhold::coordination::serving::ConcurrencyLimits;
 use camphorhold::coordination::serving::Fleet;
 use camphorhold::coordination::serving::Instances;
@@ -17,6 +19,7 @@
 use camphorhold::coordination::serving::fleet::LeafLimits;
 use camphorhold::coordination::serving::rate_limit::Grantor;
 use camphorhold::coordination::serving::split::Split;
+use camphorhold::state::id::Fingerprint;
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Route;
 use camphorhold::state::time::Clock;
@@ -53,6 +56,9 @@
 /// need a few MB at a time.
 const READ_MEMORY_DIVISOR: usize = 8;
 
+/// How many requests that have ended leafs are remembered.
+const MAX_POISON: usize = 1_000;
+
 /// Measurements of the requests of one route.
 #[derive(Debug)]
 struct RouteProfile {
@@ -98,6 +104,12 @@
     pub grantor: RefCell<Grantor>,
     /// Wakes the task that claims tokens, when a leaf names a limit or another one than before.
     pub limit_named: Notify,
+    /// The requests that have ended leafs, as far as this instance has seen or read in the store.
+    pub poison: RefCell<poison::Registry>,
+    /// The requests whose count of ended leafs has to be written to the store.
+    pub unwritten_crashes: RefCell<HashSet<Fingerprint>>,
+    /// Wakes the task that writes them.
+    pub crash_recorded: Notify,
     /// The memory for answers of leafs and instances that are being read.
     pub read_budget: ReadBudget,
     /// Idle connections to leafs.
@@ -144,6 +156,9 @@
             instances: RefCell::new(instances),
             grantor: RefCell::default(),
             limit_named: Notify::new(),
+            poison: RefCell::new(poison::Registry::new(MAX_POISON)),
+            unwritten_crashes: RefCell::default(),
+            crash_recorded: Notify::new(),
             read_budget: ReadBudget::new(read_bytes),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
--- a/instance/tests/poison.rs
+++ b/instance/tests/poison.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use camphorhold_testutils::platform::leaf::Leaf;
 use hyper::StatusCode;
 use support::Instance;
 use support::Platform;
@@ -28,12 +29,12 @@
 }
 
 fn ends(platform: &Platform) -> usize {
-    platform.leafs.iter().map(|leaf| leaf.ends()).sum()
+    platform.leafs.iter().map(Leaf::ends).sum()
 }
 
 /// Returns the number of requests with this path that leafs have begun to run.
 fn runs(platform: &Platform, path: &str) -> usize {
-    let runs = platform.leafs.iter().flat_map(|leaf| leaf.runs());
+    let runs = platform.leafs.iter().flat_map(Leaf::runs);
     runs.filter(|run| run.path == path).count()
 }
 
@@ -42,7 +43,7 @@
     for attempt in 0..attempts {
         let instance = &instances[attempt % instances.len()];
         let answer = instance.send(&format!("r{attempt}"), path).await;
-        let status = answer.unwrap().status();
+        let status = answer.expect("an answer").status();
         assert!(!status.is_success(), "attempt {attempt}: {status}");
         tokio::time::sleep(PAUSE).await;
     }
@@ -114,7 +115,7 @@
 /// next attempt is answered, and so are those after it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_harmless_request_is_answered_after_leafs_ended_under_it() {
-    let platform = Platform::start(&[("s1", "a"), ("s1", "a")]).await;
+    let platform = Platform::start(&[("s1", "a"), ("s1", "a"), ("s1", "a")]).await;
     let instance = Instance::start(&platform, "1", "a").await;
     for leaf in &platform.leafs {
         leaf.set_poison(Some("/one/good"));
--- a/lib/src/coordination/poison.rs
+++ b/lib/src/coordination/poison.rs
@@ -132,6 +132,21 @@
         }
     }
 
+    /// Decides as [`Self::admit`] does, but a fingerprint that is not known to have crashed a server
+    /// runs without a canary.
+    pub fn admit_suspect(&mut self, fingerprint: Fingerprint, now: Instant) -> Admission {
+        if self.crashes(fingerprint) == 0 {
+            return Admission::KnownGood;
+        }
+        self.admit(fingerprint, now)
+    }
+
+    /// Returns whether no fingerprint has crashed a server.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
     /// Returns the crash count. A canary after a crash must not be hedged, because two more servers
     /// could crash and exceed [`CRASH_LIMIT`].
     #[must_use]
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -4,12 +4,14 @@
 //! A request to a single service is a fan-out over one shard. This module does no I/O and sets no
 //! timers: its user sends the calls that the methods return, and reports the outcome of each.
 
+mod crash_guard;
 mod message;
 mod progress;
 
 use std::time::Duration;
 use std::time::Instant;
 
+use self::crash_guard::CrashGuard;
 pub use self::message::LeafCall;
 pub use self::message::Outcome;
 pub use self::message::Reason;
@@ -67,6 +69,7 @@
     answered: u32,
     open: u32,
     may_have_run: bool,
+    crash_guard: CrashGuard,
     hedges: u32,
     retries: u32,
 }
@@ -96,6 +99,7 @@
             answered: 0,
             open,
             may_have_run: false,
+            crash_guard: CrashGuard::new(request.is_suspect),
             hedges: 0,
             retries: 0,
         };
@@ -122,11 +126,16 @@
         context: &mut Context<'_>,
         calls: &mut Vec<LeafCall>,
     ) {
-        let progress = &mut self.shards[shard];
-        progress.in_flight.retain(|key| *key != leaf);
+        self.shards[shard].in_flight.retain(|key| *key != leaf);
         if outcome.may_have_run() {
             self.may_have_run = true;
         }
+        match outcome {
+            Outcome::Answered | Outcome::Failed => self.on_survived(context, calls),
+            Outcome::NotRun | Outcome::Unsent => self.crash_guard.on_not_run(leaf),
+            Outcome::Lost => self.crash_guard.on_lost(leaf),
+        }
+        let progress = &mut self.shards[shard];
         if progress.state != State::Open {
             return;
         }
@@ -172,6 +181,7 @@
         match outcome {
             Outcome::Answered => {
                 self.answer(shard, context);
+                self.on_survived(context, calls);
                 return;
             }
             Outcome::Failed | Outcome::Lost => progress.sent_calls += 1,
@@ -196,11 +206,45 @@
         self.call_or_wait(shard, context, calls);
     }
 
+    /// Records that a leaf has survived the request, and sends the calls that have waited for it.
+    fn on_survived(&mut self, context: &mut Context<'_>, calls: &mut Vec<LeafCall>) {
+        let resumes = self.crash_guard.awaits_canary();
+        self.crash_guard.on_survived();
+        if !resumes {
+            return;
+        }
+        for index in 0..self.shards.len() {
+            let progress = &mut self.shards[index];
+            if progress.state == State::Open && progress.recheck_at.take().is_some() {
+                self.call_or_wait(index, context, calls);
+            }
+        }
+    }
+
+    /// Records that the instance with a handover has lost connections to leafs under the request.
+    pub fn on_lost_elsewhere(&mut self) {
+        self.crash_guard.on_lost_elsewhere();
+    }
+
+    /// Returns the leafs to which calls were sent.
+    pub fn called_leafs(&self) -> impl Iterator<Item = LeafKey> {
+        self.shards
+            .iter()
+            .flat_map(|progress| progress.tried.iter().copied())
+    }
+
+    /// Returns whether a leaf has survived the request.
+    #[must_use]
+    pub fn has_survivor(&self) -> bool {
+        self.crash_guard.has_survivor()
+    }
+
     /// Returns whether an open shard may be handed over once more, to another instance, and records
     /// it as handed over if so. The leafs may get the request twice then, so it takes a hedge from
     /// the budget.
     pub fn hand_over_again(&mut self, shard: usize, context: &mut Context<'_>) -> bool {
         let permitted = self.shards[shard].state == State::Open
+            && self.crash_guard.permits_hedge()
             && self.other_instance_left_leafs(shard, context)
             && self.take_hedge(shard, context);
         if permitted {
@@ -391,7 +435,7 @@
         let progress = &mut self.shards[shard];
         progress.hedge_at = None;
         let is_second = progress.in_flight.len() == 1 || progress.pending_handovers > 0;
-        if progress.in_flight.len() > 1 || !is_second {
+        if progress.in_flight.len() > 1 || !is_second || !self.crash_guard.permits_hedge() {
             return;
         }
         let Some(leaf) = self.candidate(shard, context) else {
@@ -413,6 +457,11 @@
 
     /// Sends a call, or waits if a leaf may become available in time, or else fails the shard.
     fn call_or_wait(&mut self, shard: usize, context: &mut Context<'_>, calls: &mut Vec<LeafCall>) {
+        if !self.crash_guard.permits_call() {
+            let waits = self.crash_guard.awaits_canary() && context.now + RECHECK < self.answer_by;
+            self.wait_or_fail(shard, waits, context);
+            return;
+        }
         let Some(leaf) = self.candidate(shard, context) else {
             let limit = if self.answered > 0 || self.has_calls() {
                 self.answer_by
@@ -421,11 +470,7 @@
             };
             let waits = context.fleet.has_candidates(&self.shards[shard].service)
                 && context.now + RECHECK < limit;
-            if waits {
-                self.shards[shard].recheck_at = Some(context.now + RECHECK);
-            } else {
-                self.fail(shard, context);
-            }
+            self.wait_or_fail(shard, waits, context);
             return;
         };
         let progress = &self.shards[shard];
@@ -444,6 +489,14 @@
         self.record_call(shard, leaf, extra, context.now, calls);
     }
 
+    fn wait_or_fail(&mut self, shard: usize, waits: bool, context: &mut Context<'_>) {
+        if waits {
+            self.shards[shard].recheck_at = Some(context.now + RECHECK);
+        } else {
+            self.fail(shard, context);
+        }
+    }
+
     fn record_call(
         &mut self,
         shard: usize,
@@ -454,6 +507,7 @@
     ) {
         let hedge_delay = self.hedge_delay;
         let deadline = self.call_deadline(now);
+        self.crash_guard.on_call(leaf);
         let progress = &mut self.shards[shard];
         progress.sent_calls += 1;
         progress.in_flight.push(leaf);
--- a/lib/src/coordination/serving/fanout/message.rs
+++ b/lib/src/coordination/serving/fanout/message.rs
@@ -50,6 +50,9 @@
     pub min_coverage: f64,
     /// How many leafs of one shard may receive the request; 0 counts as 1.
     pub max_leafs: usize,
+    /// Whether the request has ended leafs before. Then one leaf has to survive it before it is sent
+    /// to another one.
+    pub is_suspect: bool,
     /// How long a call may take before a second leaf is called; `None` turns hedging off.
     pub hedge_delay: Option<Duration>,
     /// The time at which a request is refused if no call could be sent and no shard has answered. A
--- /dev/null
+++ b/lib/tests/serving_crash_guard.rs
@@ -0,0 +1,226 @@
+//! Tests of one request under which connections to leafs are lost.
+
+mod serving_support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use camphorhold::coordination::poison::Admission;
+use camphorhold::coordination::poison::EXPIRY;
+use camphorhold::coordination::poison::Registry;
+use camphorhold::coordination::serving::ConcurrencyLimits;
+use camphorhold::coordination::serving::Fanout;
+use camphorhold::coordination::serving::Fleet;
+use camphorhold::coordination::serving::RetryBudgets;
+use camphorhold::coordination::serving::fanout::Context;
+use camphorhold::coordination::serving::fanout::LeafCall;
+use camphorhold::coordination::serving::fanout::Outcome;
+use camphorhold::coordination::serving::fanout::Reason;
+use camphorhold::coordination::serving::fanout::Request;
+use camphorhold::coordination::serving::fanout::Shard;
+use camphorhold::coordination::serving::fanout::ShardAssignment;
+use camphorhold::coordination::serving::fanout::Verdict;
+use camphorhold::coordination::serving::retry_budget::Bound;
+use camphorhold::state::id::Fingerprint;
+use camphorhold::state::plan::CallSemantics;
+use serving_support::AMPLE_LIMITS;
+use serving_support::fleet;
+use serving_support::ms;
+
+const SHARDS: [&str; 3] = ["s1", "s2", "s3"];
+
+const LEAFS: [(&str, &str, &str); 6] = [
+    ("s1a", "s1", "a"),
+    ("s1b", "s1", "b"),
+    ("s2a", "s2", "a"),
+    ("s2b", "s2", "b"),
+    ("s3a", "s3", "a"),
+    ("s3b", "s3", "b"),
+];
+
+struct World {
+    start: Instant,
+    fleet: Fleet,
+    retry_budgets: RetryBudgets,
+    concurrency_limits: ConcurrencyLimits,
+}
+
+impl World {
+    fn new() -> Self {
+        let start = Instant::now();
+        let bound = Bound {
+            ratio: 0.2,
+            extra: 60.0,
+            window: Duration::from_secs(10),
+        };
+        Self {
+            start,
+            fleet: fleet(&LEAFS, start),
+            retry_budgets: RetryBudgets::new(bound, 1, start),
+            concurrency_limits: ConcurrencyLimits::default(),
+        }
+    }
+
+    fn context(&mut self, after: u64) -> Context<'_> {
+        Context {
+            now: self.start + ms(after),
+            fleet: &self.fleet,
+            retry_budgets: &mut self.retry_budgets,
+            concurrency_limits: &mut self.concurrency_limits,
+            jitter: 0.0,
+        }
+    }
+
+    fn start_request(&mut self, is_suspect: bool) -> (Fanout, Vec<LeafCall>) {
+        let request = Request {
+            shards: SHARDS
+                .iter()
+                .map(|service| Shard {
+                    service: (*service).into(),
+                    limits: AMPLE_LIMITS,
+                    assignment: ShardAssignment::Local,
+                })
+                .collect(),
+            started: self.start,
+            limits_concurrency: true,
+            semantics: CallSemantics::Idempotent,
+            min_coverage: 0.5,
+            max_leafs: 2,
+            is_suspect,
+            hedge_delay: Some(ms(40)),
+            refuse_by: self.start + ms(30),
+            answer_by: self.start + ms(140),
+            deadline: self.start + ms(1_000),
+        };
+        Fanout::start(request, &mut self.context(0))
+    }
+
+    fn end(
+        &mut self,
+        fanout: &mut Fanout,
+        call: LeafCall,
+        outcome: Outcome,
+        after: u64,
+    ) -> Vec<LeafCall> {
+        let mut further = Vec::new();
+        let mut context = self.context(after);
+        fanout.on_outcome(call.shard, call.leaf, outcome, &mut context, &mut further);
+        further
+    }
+}
+
+/// Guards against a query that ends a second leaf of every shard when its lost calls are replaced.
+#[test]
+fn lost_calls_are_replaced_by_one_canary_only() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request(false);
+    assert_eq!(calls.len(), 3);
+    let canary = world.end(&mut fanout, calls[0], Outcome::Lost, 5);
+    assert_eq!(canary.len(), 1);
+    assert!(
+        world
+            .end(&mut fanout, calls[1], Outcome::Lost, 6)
+            .is_empty()
+    );
+    assert!(
+        world
+            .end(&mut fanout, calls[2], Outcome::Lost, 7)
+            .is_empty()
+    );
+    assert!(
+        world
+            .end(&mut fanout, canary[0], Outcome::Lost, 9)
+            .is_empty()
+    );
+    let mut further = Vec::new();
+    let mut context = world.context(100);
+    fanout.on_timer(&mut context, &mut further);
+    assert!(further.is_empty());
+    assert!(!fanout.has_survivor());
+    assert!(matches!(
+        fanout.verdict(world.start + ms(100)),
+        Some(Verdict::GiveUp {
+            reason: Reason::Unavailable,
+            may_have_run: true,
+            ..
+        })
+    ));
+}
+
+/// Guards against a query that loses shards although only their connections were broken: once a
+/// leaf has survived it, the other lost calls are replaced at once.
+#[test]
+fn lost_calls_are_replaced_as_soon_as_a_leaf_has_survived() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request(false);
+    let canary = world.end(&mut fanout, calls[0], Outcome::Lost, 5);
+    assert!(
+        world
+            .end(&mut fanout, calls[1], Outcome::Lost, 6)
+            .is_empty()
+    );
+    let replaced = world.end(&mut fanout, calls[2], Outcome::Answered, 20);
+    assert_eq!(replaced.len(), 1);
+    assert_eq!(replaced[0].shard, 1);
+    assert!(fanout.has_survivor());
+    world.end(&mut fanout, canary[0], Outcome::Answered, 25);
+    world.end(&mut fanout, replaced[0], Outcome::Answered, 40);
+    let verdict = fanout.verdict(world.start + ms(40));
+    assert!(matches!(verdict, Some(Verdict::Answer(coverage)) if coverage.is_complete()));
+}
+
+/// Guards against a request that is known to end leafs and reaches more than one of them.
+#[test]
+fn a_suspect_request_is_sent_to_one_leaf_first() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request(true);
+    assert_eq!(calls.len(), 1);
+    assert!(
+        world
+            .end(&mut fanout, calls[0], Outcome::Lost, 5)
+            .is_empty()
+    );
+    let mut further = Vec::new();
+    let mut context = world.context(20);
+    fanout.on_timer(&mut context, &mut further);
+    assert!(further.is_empty());
+
+    let (mut fanout, calls) = world.start_request(true);
+    let others = world.end(&mut fanout, calls[0], Outcome::Answered, 20);
+    assert_eq!(others.len(), 2);
+}
+
+/// Guards against a canary that ends the request although no leaf has received it.
+#[test]
+fn a_canary_that_reached_no_leaf_is_sent_again() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request(true);
+    let again = world.end(&mut fanout, calls[0], Outcome::Unsent, 5);
+    assert_eq!(again.len(), 1);
+    let again = world.end(&mut fanout, again[0], Outcome::NotRun, 10);
+    assert_eq!(again.len(), 1);
+}
+
+/// Guards against requests that wait for a canary although nothing is known against them, and
+/// against harmful ones that are admitted without one.
+#[test]
+fn only_requests_that_have_ended_leafs_need_a_canary() {
+    let now = Instant::now();
+    let mut registry = Registry::new(10);
+    let (harmless, harmful) = (Fingerprint(1), Fingerprint(2));
+    assert_eq!(registry.admit_suspect(harmless, now), Admission::KnownGood);
+    registry.crashed(harmful, now);
+    assert_eq!(registry.admit_suspect(harmless, now), Admission::KnownGood);
+    assert_eq!(registry.admit_suspect(harmful, now), Admission::RunCanary);
+    assert_eq!(
+        registry.admit_suspect(harmful, now),
+        Admission::WaitForCanary
+    );
+    registry.merge(harmful, 2, EXPIRY, now);
+    assert_eq!(
+        registry.admit_suspect(harmful, now),
+        Admission::Blocked {
+            until: now + EXPIRY
+        }
+    );
+}
--- a/lib/tests/serving_fanout.rs
+++ b/lib/tests/serving_fanout.rs
@@ -87,6 +87,7 @@
             semantics: CallSemantics::Idempotent,
             min_coverage: 0.5,
             max_leafs: 2,
+            is_suspect: false,
             hedge_delay: Some(ms(40)),
             refuse_by: self.start + ms(30),
             answer_by: self.start + ms(140),
