--- /dev/null
+++ b/instance/tests/cut_off.rs
@@ -0,0 +1,150 @@
+//! Tests of instances that can reach no leaf, while callers, the store and the other instances reach
+//! them. The instances run as processes against the stand-ins of the platform.
+
+mod support;
+
+use std::time::Duration;
+
+use camphorhold_testutils::platform::CONFIGURATION_KEY;
+use camphorhold_testutils::platform::configuration;
+use camphorhold_testutils::platform::store::Store;
+use camphorhold_testutils::proxy::LinkFault;
+use camphorhold_testutils::proxy::Proxy;
+use hyper::StatusCode;
+use support::Instance;
+use support::Platform;
+use support::wait_until;
+
+const REGISTRATIONS: &str = "camphorhold/instances/";
+
+const LEAF_CALLS: &str = "camphorhold_leaf_calls_total{outcome=\"answered\"}";
+
+/// The time after which callers of a cut-off instance have to be served again.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
+
+/// The requests of each kind that are sent to the instance, all of which another one could answer.
+const REQUESTS: usize = 10;
+
+/// Two instances. The first one has a store of its own, in which the addresses of the leafs are
+/// those of proxies.
+struct Deployment {
+    platform: Platform,
+    links: Vec<Proxy>,
+    cut_off: Instance,
+    _other: Instance,
+}
+
+impl Deployment {
+    async fn start() -> Self {
+        let leafs: Vec<(&str, &str)> = ["s1", "s2", "s3", "s4"]
+            .iter()
+            .flat_map(|shard| [(*shard, "a"), (*shard, "b")])
+            .collect();
+        let platform = Platform::start(&leafs).await;
+        let behind_links = Platform {
+            store: Store::start().await.unwrap(),
+            leafs: platform.leafs.clone(),
+        };
+        let mut links = Vec::new();
+        for leaf in &platform.leafs {
+            let link = Proxy::start(leaf.address()).await.unwrap();
+            let entry = leaf.entry_at("ready", link.address());
+            behind_links.store.put(&leaf.key(), &entry);
+            links.push(link);
+        }
+        let services = ["s1", "s2", "s3", "s4"];
+        let configuration = configuration(1, &services);
+        behind_links.store.put(CONFIGURATION_KEY, &configuration);
+        let cut_off = Instance::start(&behind_links, "1", "a").await;
+        let other = Instance::start(&platform, "2", "b").await;
+        for (from, to) in [
+            (&platform.store, &behind_links.store),
+            (&behind_links.store, &platform.store),
+        ] {
+            wait_until("the instance is registered", || async {
+                from.count(REGISTRATIONS) > 0
+            })
+            .await;
+            for (key, value) in from.items(REGISTRATIONS) {
+                to.put_bytes(&key, &value);
+            }
+        }
+        Self {
+            platform,
+            links,
+            cut_off,
+            _other: other,
+        }
+    }
+
+    fn set_links(&self, fault: LinkFault) {
+        for link in &self.links {
+            link.set(fault);
+        }
+    }
+
+    async fn is_answered(&self, request: &str, path: &str) -> bool {
+        let answer = self.cut_off.send(request, path).await;
+        answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
+    }
+
+    /// Sends requests of each kind and returns how many were answered.
+    async fn answered(&self, round: &str) -> usize {
+        let mut answered = 0;
+        for number in 0..REQUESTS {
+            for path in ["/all/x", "/one/x", "/once/x"] {
+                let request = format!("{round}-{number}{}", path.replace('/', "-"));
+                answered += usize::from(self.is_answered(&request, path).await);
+            }
+        }
+        answered
+    }
+}
+
+/// Guards against callers that are served far worse because their instance has lost its links to all
+/// leafs and neither passes their requests on nor notices.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_an_instance_without_leafs_are_served_by_another_one() {
+    for fault in [
+        LinkFault::Down,
+        LinkFault::Unreachable,
+        LinkFault::NoListener,
+    ] {
+        let deployment = Deployment::start().await;
+        assert_eq!(deployment.answered("before").await, 3 * REQUESTS);
+        deployment.set_links(fault);
+        let noticing = async {
+            for number in 0.. {
+                deployment
+                    .is_answered(&format!("notice-{number}"), "/all/x")
+                    .await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let _ = tokio::time::timeout(CONTACT_TIME, noticing).await;
+        let answered = deployment.answered("cut").await;
+        let least = 3 * REQUESTS - 2;
+        assert!(answered >= least, "{fault:?}: {answered} answered");
+
+        deployment.set_links(LinkFault::None);
+        wait_until("the instance calls leafs itself again", || async {
+            let before = deployment.cut_off.counter(LEAF_CALLS).await;
+            assert!(deployment.is_answered("again", "/one/x").await);
+            deployment.cut_off.counter(LEAF_CALLS).await > before
+        })
+        .await;
+        let twice = deployment.platform.leafs.iter().any(|leaf| {
+            let runs = leaf.runs();
+            let once = runs.iter().filter(|run| run.path == "/once/x");
+            let mut ids: Vec<_> = once.map(|run| &run.request).collect();
+            let count = ids.len();
+            ids.sort_unstable();
+            ids.dedup();
+            ids.len() < count
+        });
+        assert!(
+            !twice,
+            "{fault:?}: a request that runs at most once ran twice"
+        );
+    }
+}
--- a/soak/src/instances.rs
+++ b/soak/src/instances.rs
@@ -18,8 +18,8 @@
 use crate::check::Evidence;
 use crate::check::Span;
 use crate::check::Violation;
-use crate::proxy::LinkFault;
-use crate::proxy::Proxy;
+use camphorhold_testutils::proxy::LinkFault;
+use camphorhold_testutils::proxy::Proxy;
 
 /// The time from SIGTERM to SIGKILL: `grace_s` of the instances' settings.
 const GRACE_PERIOD: Duration = Duration::from_secs(6);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,7 +2,7 @@
 //! from outside, and what callers and leafs observe is checked against the promises.
 //!
 //! Each seed determines one [`schedule`] of faults. The [`world`] starts the stand-ins of the store
-//! and the leafs, the [`instances`], and a [`proxy`] on each link from an instance to the store and
+//! and the leafs, the [`instances`], and a [`proxy`](camphorhold_testutils::proxy) on each link from an instance to the store and
 //! on the link to each leaf, and then applies the schedule. Meanwhile each [`caller`] sends
 //! requests. Afterwards [`check`] compares their outcomes with the requests that the leafs ran. The
 //! instances have no disk and base no decision on the time of day, so the soak disturbs neither
@@ -11,7 +11,6 @@
 mod caller;
 mod check;
 mod instances;
-mod proxy;
 mod schedule;
 mod world;
 
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -9,7 +9,7 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
-use crate::proxy::LinkFault;
+use camphorhold_testutils::proxy::LinkFault;
 
 /// When the first fault begins, counted from the start of the run: the instances start before it.
 const FIRST_FAULT: Duration = Duration::from_millis(500);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -39,12 +39,12 @@
 use crate::instances::Instances;
 use crate::instances::POLL_INTERVAL;
 use crate::instances::now;
-use crate::proxy::LinkFault;
-use crate::proxy::Proxy;
 use crate::schedule;
 use crate::schedule::Event;
 use crate::schedule::Fault;
 use crate::schedule::TargetCounts;
+use camphorhold_testutils::proxy::LinkFault;
+use camphorhold_testutils::proxy::Proxy;
 
 /// The failure domains. Each shard has leafs in two of them.
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod instances;
 pub mod platform;
 pub mod process;
+pub mod proxy;
 pub mod server;
 pub mod store;
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -223,9 +223,15 @@
     /// `ready`.
     #[must_use]
     pub fn entry(&self, state: &str) -> Value {
+        self.entry_at(state, self.address)
+    }
+
+    /// Returns an entry as [`Self::entry`] does, with another address under which it is reached.
+    #[must_use]
+    pub fn entry_at(&self, state: &str, address: SocketAddr) -> Value {
         json!({
             "service": self.service,
-            "address": self.address.to_string(),
+            "address": address.to_string(),
             "zone": self.domain,
             "version": "v1",
             "concurrency": 2,
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -195,6 +195,17 @@
         self.shared.changed.send_replace(changed);
     }
 
+    /// Returns the items whose key starts with a prefix, each with its value.
+    #[must_use]
+    pub fn items(&self, prefix: &str) -> Vec<(String, Vec<u8>)> {
+        let state = self.shared.lock();
+        let items = state.items.iter();
+        items
+            .filter(|(key, _)| key.starts_with(prefix))
+            .map(|(key, item)| (key.clone(), item.value.clone()))
+            .collect()
+    }
+
     /// Returns the number of calls received, including those that a fault refused.
     #[must_use]
     pub fn calls(&self) -> u64 {
--- a/soak/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -7,14 +7,24 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 
+/// The most connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// The connections that fill the queue of a listener without a backlog.
+const FILLING_CONNECTIONS: usize = 3;
+
+/// The pause until a port that was in use is tried again.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
 /// The fault that a proxy injects into the connections of its link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum LinkFault {
+pub enum LinkFault {
     /// Connections work normally.
     #[default]
     None,
@@ -32,11 +42,18 @@
     /// Connections that are open now stay open but forward no more bytes, even after the fault
     /// ends. New ones work.
     Silence,
+    /// As [`LinkFault::Silence`], and new connections are not established: the server's machine does
+    /// not respond.
+    Unreachable,
+    /// Open connections are reset, and there is no listener for new ones.
+    Down,
+    /// Open connections work, and there is no listener for new ones.
+    NoListener,
 }
 
 /// A running proxy from a loopback address of its own to one server.
 #[derive(Debug)]
-pub(crate) struct Proxy {
+pub struct Proxy {
     address: SocketAddr,
     // The number counts the changes, so that a connection can see which faults began after it was
     // opened.
@@ -45,8 +62,12 @@
 
 impl Proxy {
     /// Starts a proxy that forwards to the server without a fault.
-    pub(crate) async fn start(server: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start(server: SocketAddr) -> std::io::Result<Self> {
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)), BACKLOG)?;
         let address = listener.local_addr()?;
         let (fault, receiver) = watch::channel((0, LinkFault::None));
         tokio::spawn(accept(listener, server, receiver));
@@ -54,31 +75,89 @@
     }
 
     /// Returns the address to which clients connect instead of the server's.
-    pub(crate) fn address(&self) -> SocketAddr {
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Replaces the fault of the link, for open and new connections.
-    pub(crate) fn set(&self, fault: LinkFault) {
+    pub fn set(&self, fault: LinkFault) {
         self.fault
             .send_modify(|state| *state = (state.0 + 1, fault));
     }
 }
 
 async fn accept(
-    listener: TcpListener,
+    mut listener: TcpListener,
     server: SocketAddr,
-    fault: watch::Receiver<(u64, LinkFault)>,
+    mut fault: watch::Receiver<(u64, LinkFault)>,
 ) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
     // The task ends with the runtime of the run.
     loop {
-        let Ok((client, _)) = listener.accept().await else {
-            continue;
-        };
-        tokio::spawn(forward(client, server, fault.clone()));
+        let (_, state) = *fault.borrow_and_update();
+        match state {
+            LinkFault::Down | LinkFault::NoListener => {
+                drop(listener);
+                listener = rebind_after(&mut fault, address).await;
+            }
+            LinkFault::Unreachable => {
+                drop(listener);
+                // The queue of the listener is full, so further connections are not established.
+                let full = rebind(address, 0).await;
+                let waiting: Vec<_> = (0..FILLING_CONNECTIONS)
+                    .map(|_| tokio::spawn(TcpStream::connect(address)))
+                    .collect();
+                let _ = fault.changed().await;
+                for connection in waiting {
+                    connection.abort();
+                }
+                drop(full);
+                listener = rebind(address, BACKLOG).await;
+            }
+            _ => tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((client, _)) = accepted {
+                        tokio::spawn(forward(client, server, fault.clone()));
+                    }
+                }
+                _ = fault.changed() => {}
+            },
+        }
+    }
+}
+
+async fn rebind_after(
+    fault: &mut watch::Receiver<(u64, LinkFault)>,
+    address: SocketAddr,
+) -> TcpListener {
+    // An error means that the proxy is gone, and its task soon, too.
+    let _ = fault.changed().await;
+    rebind(address, BACKLOG).await
+}
+
+/// Listens on an address that was in use until now.
+async fn rebind(address: SocketAddr, backlog: u32) -> TcpListener {
+    loop {
+        match listen(address, backlog) {
+            Ok(listener) => return listener,
+            Err(error) => {
+                log::debug!("cannot listen on {address} yet: {error}");
+                tokio::time::sleep(REBIND_PAUSE).await;
+            }
+        }
     }
 }
 
+fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
 async fn forward(client: TcpStream, server: SocketAddr, fault: watch::Receiver<(u64, LinkFault)>) {
     let (opened, state) = *fault.borrow();
     let connected = match state {
@@ -95,7 +174,11 @@
     }
     let mut state = fault.clone();
     let is_reset = state.wait_for(|(change, fault)| {
-        *change > opened && matches!(fault, LinkFault::Reset | LinkFault::Refuse)
+        *change > opened
+            && matches!(
+                fault,
+                LinkFault::Reset | LinkFault::Refuse | LinkFault::Down
+            )
     });
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = upstream.into_split();
@@ -123,7 +206,7 @@
             return;
         };
         let (change, state) = *fault.borrow();
-        stalled |= change > opened && state == LinkFault::Silence;
+        stalled |= change > opened && matches!(state, LinkFault::Silence | LinkFault::Unreachable);
         if stalled {
             std::future::pending::<()>().await;
         }
