instance: relay requests while no leaf can be reached

Cause: failures were counted by leaf, so the instance took each leaf for down and never itself for cut off. It passed on only queries of three shards or more without a usable leaf, accepted handovers that it could not serve, and refused the rest.

Change: two leafs in a row that accept no connection start a probe of a sample of eight; if none accepts one, the instance is cut off, relays whole requests to another instance with the same configuration, refuses handovers, and probes until a leaf accepts a connection again. Only new connections count: open ones may live on while new ones are refused. A request that was refused because nothing could be sent is relayed, too.

Ruled out: reporting not ready alone, which moves new connections only, and none when most instances of a domain are affected (by the load balancer's description; not tried).

Result: test passes with links that are reset, hang, or refuse new connections.

--- a/instance/src/answer.rs
+++ b/instance/src/answer.rs
@@ -89,6 +89,14 @@
         }
     }
 
+    /// Returns whether the request is refused because no leaf has received it.
+    pub fn is_refused(&self, forwarded: &ForwardedRequest) -> bool {
+        match self.verdict {
+            Verdict::Answer(_) => false,
+            Verdict::GiveUp { may_have_run, .. } => !may_have_run || !forwarded.sent.get(),
+        }
+    }
+
     fn outcome(&self, forwarded: &ForwardedRequest, elapsed: Duration) -> &'static str {
         match self.verdict {
             Verdict::Answer(_) if elapsed > forwarded.route.objective => "late",
@@ -156,7 +164,7 @@
 }
 
 /// Returns a leaf's answer unchanged except for hop-by-hop headers.
-fn forward(answer: Response<Bytes>) -> Response<Full<Bytes>> {
+pub fn forward(answer: Response<Bytes>) -> Response<Full<Bytes>> {
     let (mut head, body) = answer.into_parts();
     head.headers = end_to_end(head.headers);
     head.version = hyper::Version::HTTP_11;
--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -82,6 +82,15 @@
 }
 
 impl ForwardedRequest {
+    /// Returns the request as it is forwarded, without the headers that the instance sets.
+    pub fn to_request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        request
+    }
+
     /// Returns what stays the same when a caller sends the request again: a hash of its method,
     /// host, path, query and body.
     pub fn fingerprint(&self) -> Fingerprint {
@@ -348,7 +357,9 @@
         connection
     } else {
         metrics::counter!("camphorhold_leaf_connections_total").increment(1);
-        Connection::open(address, TCP_OPTIONS).await?
+        let opened = Connection::open(address, TCP_OPTIONS).await;
+        shared.on_connect(leaf, opened.is_ok());
+        opened?
     };
     let left = call.deadline.saturating_duration_since(shared.now());
     let request = build_request(forwarded, &id, left);
@@ -371,16 +382,13 @@
     leaf_id: &str,
     left: Duration,
 ) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(forwarded.body.clone()));
-    *request.method_mut() = forwarded.method.clone();
-    *request.uri_mut() = forwarded.uri.clone();
-    let mut headers = forwarded.headers.clone();
+    let mut request = forwarded.to_request();
+    let headers = request.headers_mut();
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
     headers.insert(header::DEADLINE_MS, HeaderValue::from(left));
     if let Ok(id) = HeaderValue::from_str(leaf_id) {
         headers.insert(header::EXPECTED_LEAF, id);
     }
-    *request.headers_mut() = headers;
     request
 }
 
--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -12,7 +12,6 @@
 use camphorhold::coordination::poison;
 use camphorhold::coordination::poison::Admission;
 use camphorhold::coordination::poison::EXPIRY;
-use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::state::id::Fingerprint;
 use camphorhold_platform::key;
 use camphorhold_platform::store::Put;
@@ -21,16 +20,13 @@
 use futures::future::join_all;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::net::TcpStream;
 
 use crate::call::ForwardedRequest;
 use crate::gather::FinishedRequest;
 use crate::gather::Loss;
+use crate::probe;
 use crate::shared::Shared;
 
-/// How long a leaf may take to accept a connection until it counts as ended.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// The number of other leafs of which one has to accept a connection, so that the loss of
 /// connections is not that of the network.
 const MAX_REFERENCES: usize = 3;
@@ -168,25 +164,12 @@
         .fleet
         .borrow()
         .sample(&loss.called, MAX_REFERENCES, shared.jitter());
-    let accepts = |leaf: &LeafKey| accepts_connections(shared, *leaf);
-    let (lost_accept, references_accept) = tokio::join!(
-        join_all(loss.leafs.iter().map(accepts)),
-        join_all(references.iter().map(accepts))
+    let lost_leafs = loss.leafs.iter();
+    let (lost_accept, any_reference_accepts) = tokio::join!(
+        join_all(lost_leafs.map(|leaf| probe::accepts_connections(shared, *leaf))),
+        probe::any_accepts_connections(shared, &references)
     );
-    lost_accept.contains(&false) && references_accept.contains(&true)
-}
-
-async fn accepts_connections(shared: &Shared, leaf: LeafKey) -> bool {
-    let address = shared
-        .fleet
-        .borrow()
-        .get(leaf)
-        .map(|leaf| leaf.entry().address);
-    let Some(address) = address else {
-        return false;
-    };
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    matches!(connecting.await, Ok(Ok(_)))
+    any_reference_accepts && lost_accept.contains(&false)
 }
 
 /// Writes the counts of requests that have ended leafs to the store, until the process ends.
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -29,9 +29,7 @@
 use camphorhold::transport::http::Connection;
 use camphorhold::transport::http::TcpOptions;
 use camphorhold_platform::header;
-use http_body_util::Full;
 use hyper::HeaderMap;
-use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::HeaderName;
@@ -148,7 +146,8 @@
 }
 
 /// Reads the handover headers of a request from another instance. Returns `None`, which refuses the
-/// handover, if they are missing or invalid, if this instance is starting or stopping, or if its
+/// handover, if they are missing or invalid, if this instance is starting or stopping or can reach
+/// no leaf, or if its
 /// configuration, in which `route` matches the request, defines the query in another way.
 pub fn accept(
     shared: &Shared,
@@ -163,8 +162,10 @@
     let digest = headers.get(DIGEST_HEADER).and_then(read_digest);
     let defines_same_query = handover_request.version == plan.version()
         || (digest.is_some() && digest == route.query_digest());
-    let accepted =
-        shared.phase.get() == Phase::Serving && defines_same_query && handover_request.fits(scope);
+    let accepted = shared.phase.get() == Phase::Serving
+        && !shared.reachability.borrow().is_cut_off()
+        && defines_same_query
+        && handover_request.fits(scope);
     accepted.then_some(handover_request)
 }
 
@@ -285,14 +286,25 @@
 }
 
 /// Records the end of a handover, even if its future is dropped because its caller has left.
-struct InFlight {
+pub struct InFlight {
     shared: Rc<Shared>,
     name: Box<str>,
     outcome: Option<HandoverOutcome>,
 }
 
 impl InFlight {
-    fn end(&mut self, result: &Result<Response<Bytes>, http::Error>) {
+    /// Records a handover of that many shards to an instance as sent.
+    pub fn start(shared: &Rc<Shared>, name: &str, shards: usize) -> Self {
+        shared.instances.borrow_mut().on_sent(name, shards);
+        Self {
+            shared: Rc::clone(shared),
+            name: name.into(),
+            outcome: None,
+        }
+    }
+
+    /// Records how the exchange ended.
+    pub fn end(&mut self, result: &Result<Response<Bytes>, http::Error>) {
         let outcome = match result {
             Ok(answer) if answer.status() == StatusCode::CONFLICT => HandoverOutcome::Refused,
             Ok(answer) => {
@@ -304,7 +316,8 @@
         self.record(outcome);
     }
 
-    fn record(&mut self, outcome: HandoverOutcome) {
+    /// Records the outcome.
+    pub fn record(&mut self, outcome: HandoverOutcome) {
         self.outcome = Some(outcome);
         metrics::counter!("camphorhold_handovers_total", "outcome" => outcome_label(outcome))
             .increment(1);
@@ -331,15 +344,7 @@
     group: ShardGroup,
     answer_by: Instant,
 ) -> impl Future<Output = End> + use<> {
-    shared
-        .instances
-        .borrow_mut()
-        .on_sent(&group.name, group.shards.len());
-    let in_flight = InFlight {
-        shared: Rc::clone(shared),
-        name: group.name.clone(),
-        outcome: None,
-    };
+    let in_flight = InFlight::start(shared, &group.name, group.shards.len());
     let positions = group.shards.iter().map(|shard| query.positions[*shard]);
     let handover_request = HandoverRequest {
         version: query.version,
@@ -453,10 +458,8 @@
         Some(connection) => connection,
         None => Connection::open(address, TCP_OPTIONS).await?,
     };
-    let mut request = Request::new(Full::new(forwarded.body.clone()));
-    *request.method_mut() = forwarded.method.clone();
-    *request.uri_mut() = forwarded.uri.clone();
-    let mut headers = forwarded.headers.clone();
+    let mut request = forwarded.to_request();
+    let headers = request.headers_mut();
     if let Ok(handover_request) = HeaderValue::from_str(&handover_request.to_string()) {
         headers.insert(HEADER, handover_request);
     }
@@ -473,7 +476,6 @@
     let left = forwarded.deadline.saturating_duration_since(shared.now());
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
     headers.insert(header::DEADLINE_MS, HeaderValue::from(left));
-    *request.headers_mut() = headers;
     forwarded.sent.set(true);
     let answer = connection
         .exchange_within(request, MAX_ANSWER_BYTES, &shared.read_budget)
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -22,6 +22,7 @@
 use crate::exposition;
 use crate::follower::Follower;
 use crate::mirror::Mirror;
+use crate::probe;
 use crate::registration;
 use crate::reload::SettingsFile;
 use crate::request::Source;
@@ -104,6 +105,8 @@
     let state = Rc::clone(&shared);
     spawn("crashes", move || crashes::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
+    spawn("probe", move || probe::run(Rc::clone(&state)));
+    let state = Rc::clone(&shared);
     let readiness = Rc::new(readiness);
     spawn("readiness", move || {
         server::serve_readiness(Rc::clone(&state), Rc::clone(&readiness))
--- /dev/null
+++ b/instance/src/relay.rs
@@ -0,0 +1,140 @@
+//! Relays whole requests to other instances while this one can reach no leaf.
+//!
+//! A relayed request is the caller's, with a header that names the version of the configuration. The
+//! other instance handles it like one of its own callers, but relays it no further, and its answer
+//! goes to the caller unchanged. It refuses the request if it has another version in force, is
+//! starting or stopping, or can reach no leaf either; then the next instance is asked.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use camphorhold::coordination::serving::instances::HandoverOutcome;
+use camphorhold::state::plan::CallSemantics;
+use camphorhold::state::plan::Plan;
+use camphorhold::transport::http;
+use camphorhold::transport::http::Connection;
+use camphorhold_platform::header;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+
+use crate::answer;
+use crate::answer::empty_response;
+use crate::answer::refuse;
+use crate::call::ForwardedRequest;
+use crate::handover::InFlight;
+use crate::handover::TCP_OPTIONS;
+use crate::shared::Phase;
+use crate::shared::Shared;
+
+/// In a request to another instance: marks it as relayed, with the version of the configuration
+/// that both instances must use.
+pub const HEADER: HeaderName = HeaderName::from_static("camphorhold-relay");
+
+/// The most instances that are asked for one request.
+const MAX_TARGETS: usize = 5;
+
+/// The longest accepted body of an answer, that of a leaf's answer to a request for one service.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// When a caller should try again whose request no instance has taken. The links of instances may
+/// be back by then.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Returns whether a request from another instance is a relayed one that this instance takes, or
+/// `None` if it is not relayed.
+pub fn accept(shared: &Shared, plan: &Plan, headers: &HeaderMap) -> Option<bool> {
+    let version = headers.get(HEADER)?;
+    let version = version.to_str().ok().and_then(|value| value.parse().ok());
+    Some(
+        shared.phase.get() == Phase::Serving
+            && version == Some(plan.version())
+            && !shared.reachability.borrow().is_cut_off(),
+    )
+}
+
+/// Relays a request that no leaf has received to another instance, and returns the answer for the
+/// caller. Without an instance that takes it, the request is refused.
+pub async fn run(
+    shared: &Rc<Shared>,
+    forwarded: &ForwardedRequest,
+    plan: &Plan,
+) -> Response<Full<Bytes>> {
+    let mut asked: Vec<Box<str>> = Vec::new();
+    while asked.len() < MAX_TARGETS {
+        let left = forwarded.deadline.saturating_duration_since(shared.now());
+        if left.is_zero() {
+            break;
+        }
+        let target = {
+            let instances = shared.instances.borrow();
+            instances.choose_relay(&asked, shared.now(), shared.jitter())
+        };
+        let Some((name, address)) = target else {
+            break;
+        };
+        let mut in_flight = InFlight::start(shared, &name, 0);
+        let exchange = exchange(shared, forwarded, plan, address, left);
+        let result = tokio::time::timeout(left, exchange).await;
+        let Ok(result) = result else {
+            in_flight.record(HandoverOutcome::Failed);
+            log::info!(request = forwarded.id(), instance = &*name; "instance did not answer the relayed request in time");
+            return record("timed_out", empty_response(StatusCode::GATEWAY_TIMEOUT));
+        };
+        in_flight.end(&result);
+        match result {
+            Ok(answer) if answer.status() == StatusCode::CONFLICT => asked.push(name),
+            Ok(answer) => return record("answered", answer::forward(answer)),
+            Err(http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_)) => {
+                asked.push(name);
+            }
+            Err(error @ (http::Error::Lost(_) | http::Error::TooLong)) => {
+                log::info!(request = forwarded.id(), instance = &*name, error:% = error; "relayed request failed");
+                return record("failed", empty_response(StatusCode::BAD_GATEWAY));
+            }
+        }
+    }
+    log::info!(request = forwarded.id(), route = &*forwarded.route.name, asked = asked.join(","); "request refused: no leaf can be reached, and no instance takes it");
+    record("refused", refuse(RETRY_AFTER))
+}
+
+fn record(outcome: &'static str, response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    metrics::counter!("camphorhold_relays_total", "outcome" => outcome).increment(1);
+    response
+}
+
+async fn exchange(
+    shared: &Shared,
+    forwarded: &ForwardedRequest,
+    plan: &Plan,
+    address: std::net::SocketAddr,
+    left: Duration,
+) -> Result<Response<Bytes>, http::Error> {
+    // As with leafs, a request that may run at most once gets a new connection.
+    let pooled = match forwarded.route.semantics {
+        CallSemantics::Idempotent => shared.peer_pool.take(address, shared.now()),
+        CallSemantics::AtMostOnce => None,
+    };
+    let mut connection = match pooled {
+        Some(connection) => connection,
+        None => Connection::open(address, TCP_OPTIONS).await?,
+    };
+    let mut request = forwarded.to_request();
+    let headers = request.headers_mut();
+    headers.insert(HEADER, HeaderValue::from(plan.version()));
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
+    headers.insert(header::DEADLINE_MS, HeaderValue::from(left));
+    let answer = connection
+        .exchange_within(request, MAX_ANSWER_BYTES, &shared.read_budget)
+        .await?;
+    if connection.is_usable() {
+        shared
+            .peer_pool
+            .put(address, connection, None, shared.now());
+    }
+    Ok(answer)
+}
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -50,6 +50,7 @@
 use crate::handover;
 use crate::handover::HandoverRequest;
 use crate::handover::Query;
+use crate::relay;
 use crate::shared::Shared;
 use crate::tokens;
 
@@ -115,6 +116,8 @@
     Caller,
     /// Another instance, which hands over shards of a query.
     Instance,
+    /// Another instance, which relays a whole request of a caller.
+    Relay,
 }
 
 /// The sender of a request, and when and how the request arrived.
@@ -150,7 +153,7 @@
 pub async fn handle(
     shared: Rc<Shared>,
     request: Request<Incoming>,
-    origin: Origin,
+    mut origin: Origin,
 ) -> Response<Full<Bytes>> {
     let _in_progress = InProgress::new(&shared);
     if origin.source == Source::Instance && request.headers().contains_key(tokens::HEADER) {
@@ -168,8 +171,16 @@
         log::info!(request = request_id(request.headers()), path = request.uri().path(), config_version = plan.version(); "request answered with 404: no route matches its host and path");
         return empty_response(StatusCode::NOT_FOUND);
     };
+    if origin.source == Source::Instance
+        && let Some(accepted) = relay::accept(&shared, &plan, request.headers())
+    {
+        if !accepted {
+            return empty_response(StatusCode::CONFLICT);
+        }
+        origin.source = Source::Relay;
+    }
     let handover_request = match origin.source {
-        Source::Caller => None,
+        Source::Caller | Source::Relay => None,
         Source::Instance => match handover::accept(&shared, &plan, &route, request.headers()) {
             Some(handover_request) => Some(handover_request),
             None => return empty_response(StatusCode::CONFLICT),
@@ -195,6 +206,9 @@
         deadline: origin.arrived + wait.min(route.timeout),
         route,
     });
+    if origin.source == Source::Caller && shared.reachability.borrow().is_cut_off() {
+        return relay::run(&shared, &forwarded, &plan).await;
+    }
     let positions = match (&forwarded.route.target, &handover_request) {
         (_, Some(handover_request)) => handover_request.shards.clone(),
         (Target::Shards(scope), None) => (0..scope.shards.len()).collect(),
@@ -209,22 +223,7 @@
         return refuse(retry_after(&forwarded.route));
     };
     let Some(handover_request) = handover_request else {
-        if let Err(pause) = skip_unavailable_shards(&shared, &forwarded, &mut request, wait) {
-            return refuse(pause);
-        }
-        let trial = match crashes::admit(&shared, &forwarded) {
-            Ok(trial) => trial,
-            Err(pause) => return refuse(pause),
-        };
-        request.is_suspect = trial.is_canary();
-        let groups = if request.is_suspect {
-            Vec::new()
-        } else {
-            assign_handovers(&shared, &forwarded.route, &mut request)
-        };
-        let end = gather::run(&shared, &forwarded, request, query, groups).await;
-        trial.end(&end);
-        return end.respond(&plan, &forwarded, origin);
+        return serve_caller(&shared, &plan, &forwarded, (request, query), wait, origin).await;
     };
     limit_to_due_time(
         &shared,
@@ -241,6 +240,39 @@
     end.respond_to_instance(&shared, &plan, &forwarded, origin, &handover_request)
 }
 
+/// Answers a request of a caller, which may have been relayed by another instance.
+async fn serve_caller(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    forwarded: &Rc<ForwardedRequest>,
+    (mut request, query): (fanout::Request, Query),
+    wait: Duration,
+    origin: Origin,
+) -> Response<Full<Bytes>> {
+    if let Err(pause) = skip_unavailable_shards(shared, forwarded, &mut request, wait) {
+        return refuse(pause);
+    }
+    let trial = match crashes::admit(shared, forwarded) {
+        Ok(trial) => trial,
+        Err(pause) => return refuse(pause),
+    };
+    request.is_suspect = trial.is_canary();
+    let groups = if request.is_suspect {
+        Vec::new()
+    } else {
+        assign_handovers(shared, &forwarded.route, &mut request)
+    };
+    let end = gather::run(shared, forwarded, request, query, groups).await;
+    trial.end(&end);
+    if origin.source == Source::Caller
+        && end.is_refused(forwarded)
+        && shared.reachability.borrow().is_cut_off()
+    {
+        return relay::run(shared, forwarded, plan).await;
+    }
+    end.respond(plan, forwarded, origin)
+}
+
 fn find_route(plan: &Plan, request: &Request<Incoming>) -> Option<Arc<Route>> {
     let host_header = request
         .headers()
@@ -277,6 +309,7 @@
     headers.remove(handover::HEADER);
     headers.remove(handover::ROLE_HEADER);
     headers.remove(handover::DIGEST_HEADER);
+    headers.remove(relay::HEADER);
     headers.remove(tokens::HEADER);
     for name in HOP_HEADERS.iter().chain(&named) {
         headers.remove(name);
@@ -328,7 +361,7 @@
     Some(fanout::Request {
         shards,
         started: origin.arrived,
-        limits_concurrency: origin.source == Source::Caller
+        limits_concurrency: origin.source != Source::Instance
             && matches!(route.target, Target::Shards(_)),
         semantics: route.semantics,
         min_coverage,
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -18,6 +18,7 @@
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::LeafLimits;
 use camphorhold::coordination::serving::rate_limit::Grantor;
+use camphorhold::coordination::serving::reachability::Reachability;
 use camphorhold::coordination::serving::split::Split;
 use camphorhold::state::id::Fingerprint;
 use camphorhold::state::plan::Plan;
@@ -104,6 +105,10 @@
     pub grantor: RefCell<Grantor>,
     /// Wakes the task that claims tokens, when a leaf names a limit or another one than before.
     pub limit_named: Notify,
+    /// Whether this instance can reach any leaf.
+    pub reachability: RefCell<Reachability>,
+    /// Wakes the task that probes leafs, when several accept no connection.
+    pub leafs_unreachable: Notify,
     /// The requests that have ended leafs, as far as this instance has seen or read in the store.
     pub poison: RefCell<poison::Registry>,
     /// The requests whose count of ended leafs has to be written to the store.
@@ -156,6 +161,8 @@
             instances: RefCell::new(instances),
             grantor: RefCell::default(),
             limit_named: Notify::new(),
+            reachability: RefCell::default(),
+            leafs_unreachable: Notify::new(),
             poison: RefCell::new(poison::Registry::new(MAX_POISON)),
             unwritten_crashes: RefCell::default(),
             crash_recorded: Notify::new(),
@@ -172,6 +179,16 @@
         }
     }
 
+    /// Records whether a leaf has accepted a connection.
+    pub fn on_connect(&self, leaf: LeafKey, accepted: bool) {
+        let mut reachability = self.reachability.borrow_mut();
+        if accepted {
+            reachability.on_connected();
+        } else if reachability.on_connect_failed(leaf, self.fleet.borrow().len()) {
+            self.leafs_unreachable.notify_one();
+        }
+    }
+
     /// Returns the current time of [`Shared::clock`].
     pub fn now(&self) -> Instant {
         self.clock.now()
--- a/instance/tests/cut_off.rs
+++ b/instance/tests/cut_off.rs
@@ -42,12 +42,12 @@
             .collect();
         let platform = Platform::start(&leafs).await;
         let behind_links = Platform {
-            store: Store::start().await.unwrap(),
+            store: Store::start().await.expect("a store"),
             leafs: platform.leafs.clone(),
         };
         let mut links = Vec::new();
         for leaf in &platform.leafs {
-            let link = Proxy::start(leaf.address()).await.unwrap();
+            let link = Proxy::start(leaf.address()).expect("a link");
             let entry = leaf.entry_at("ready", link.address());
             behind_links.store.put(&leaf.key(), &entry);
             links.push(link);
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod instances;
 pub mod rate_limit;
+pub mod reachability;
 pub mod retry_budget;
 pub mod shutdown;
 pub mod split;
--- a/lib/tests/serving_support/mod.rs
+++ b/lib/tests/serving_support/mod.rs
@@ -44,6 +44,7 @@
 }
 
 /// Returns a duration of that many milliseconds.
+#[allow(dead_code, reason = "not every test file needs it")]
 pub fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
--- a/soak/src/instances.rs
+++ b/soak/src/instances.rs
@@ -76,13 +76,13 @@
 
 impl Instances {
     /// Starts one instance per place, each with its own proxy to the store.
-    pub(crate) async fn start(
+    pub(crate) fn start(
         places: Vec<ProcessConfig>,
         evidence: Rc<RefCell<Evidence>>,
     ) -> std::io::Result<Self> {
         let mut sites = Vec::new();
         for mut place in places {
-            let store_link = Proxy::start(place.store).await?;
+            let store_link = Proxy::start(place.store)?;
             place.store = store_link.address();
             sites.push(Instance {
                 process: RefCell::new(Process::start(place)?),
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -172,7 +172,7 @@
             let domain = DOMAINS[number % DOMAINS.len()];
             let leaf = Leaf::start(&format!("i-{number}"), SHARDS[shard], domain).await?;
             leafs.push(LeafSite {
-                link: Proxy::start(leaf.address()).await?,
+                link: Proxy::start(leaf.address())?,
                 leaf,
                 incarnation: Cell::new(1),
                 draining: Cell::new(false),
@@ -193,7 +193,7 @@
         };
         let places = (0..options.instances).map(place).collect();
         let evidence = Rc::new(RefCell::new(Evidence::new(options.instances)));
-        let instances = Rc::new(Instances::start(places, Rc::clone(&evidence)).await?);
+        let instances = Rc::new(Instances::start(places, Rc::clone(&evidence))?);
         let world = Self {
             store,
             instances,
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -66,7 +66,11 @@
     /// # Errors
     ///
     /// Returns an error if no port can be bound.
-    pub async fn start(server: SocketAddr) -> std::io::Result<Self> {
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a runtime.
+    pub fn start(server: SocketAddr) -> std::io::Result<Self> {
         let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)), BACKLOG)?;
         let address = listener.local_addr()?;
         let (fault, receiver) = watch::channel((0, LinkFault::None));
