serving: calls after a refusal elsewhere take retry budget

Cause: an owner whose leafs had all refused a request answered 503, and the sender took that for 'no leaf was called'. Its own call counted as the first one: free of the budget, and one more request by which the budget grows.

Ruled out: the windows of the budget, the number of instances by which it is divided (195 throughout), and hedges of handovers, which are paid.

Change: an answer without a result says if no leaf has received the request. Otherwise the next call is a retry. The test of refused handovers named both cases NotRun; it uses Unsent for the instance that called none, and a new test holds the other one to the budget (it fails before: the call was sent).

--- a/instance/src/answer.rs
+++ b/instance/src/answer.rs
@@ -52,8 +52,9 @@
             .loss
             .as_ref()
             .map_or(Vec::new(), |loss| loss.leafs.clone());
+        let called = self.may_have_called;
         let mut response = self.respond(plan, forwarded, origin);
-        handover::add_answer_headers(shared, response.headers_mut(), &answered, &lost);
+        handover::add_answer_headers(shared, response.headers_mut(), &answered, &lost, called);
         response
     }
 
@@ -89,14 +90,6 @@
         }
     }
 
-    /// Returns whether the request is refused because no leaf has received it.
-    pub fn is_refused(&self, forwarded: &ForwardedRequest) -> bool {
-        match self.verdict {
-            Verdict::Answer(_) => false,
-            Verdict::GiveUp { may_have_run, .. } => !may_have_run || !forwarded.sent.get(),
-        }
-    }
-
     fn outcome(&self, forwarded: &ForwardedRequest, elapsed: Duration) -> &'static str {
         match self.verdict {
             Verdict::Answer(_) if elapsed > forwarded.route.objective => "late",
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -64,6 +64,8 @@
     pub loss: Option<Loss>,
     /// Whether a leaf has survived the request.
     pub has_survivor: bool,
+    /// Whether leafs may have received the request.
+    pub may_have_called: bool,
 }
 
 /// Connections to leafs that were lost under a request that no leaf has survived.
@@ -303,9 +305,8 @@
             self.call_errors
                 .push(format!("{} {rest_outcome:?}", group.name));
         }
-        let was_not_run = matches!(rest_outcome, Outcome::NotRun | Outcome::Unsent);
-        if group.role == HandoverRole::Coordinator && was_not_run {
-            self.hand_over_to_owners(group, rest_outcome);
+        if group.role == HandoverRole::Coordinator && rest_outcome == Outcome::Unsent {
+            self.hand_over_to_owners(group);
             return;
         }
         if let Some(answer) = answer.filter(|_| !answered.is_empty()) {
@@ -343,7 +344,7 @@
 
     /// Divides the shards of a coordinator that did not take them among their owners in this
     /// instance's failure domain. Calls those that it owns itself.
-    fn hand_over_to_owners(&mut self, refused: ShardGroup, outcome: Outcome) {
+    fn hand_over_to_owners(&mut self, refused: ShardGroup) {
         let asked = name_shards(&self.services, &refused.shards);
         let instances = self.shared.instances.borrow();
         let groups = instances.assign_to_owners(&asked, self.shared.now());
@@ -353,7 +354,7 @@
             left.retain(|shard| !group.shards.contains(shard));
         }
         self.new_groups.extend(groups);
-        self.end_handover(&left, &[], outcome);
+        self.end_handover(&left, &[], Outcome::Unsent);
     }
 
     fn on_timer(&mut self) {
@@ -379,6 +380,7 @@
                 called: self.fanout.called_leafs().collect(),
             }),
             has_survivor,
+            may_have_called: self.fanout.may_have_called(),
         }
     }
 }
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -58,6 +58,9 @@
 /// it.
 const LOST_HEADER: HeaderName = HeaderName::from_static("camphorhold-lost-leafs");
 
+/// In an answer without a result, present if no leaf has received the request.
+const UNCALLED_HEADER: HeaderName = HeaderName::from_static("camphorhold-no-leaf-called");
+
 const COORDINATOR: HeaderValue = HeaderValue::from_static("coordinator");
 const OWNER: HeaderValue = HeaderValue::from_static("owner");
 
@@ -183,13 +186,17 @@
 }
 
 /// Adds the headers of an answer to another instance: the positions of the answered shards, the
-/// leafs that were lost, and the instances that have failed handovers.
+/// leafs that were lost, whether none was called, and the instances that have failed handovers.
 pub fn add_answer_headers(
     shared: &Shared,
     headers: &mut HeaderMap,
     answered: &[usize],
     lost: &[LeafKey],
+    may_have_called: bool,
 ) {
+    if !may_have_called {
+        headers.insert(UNCALLED_HEADER, HeaderValue::from_static("1"));
+    }
     if let Ok(answered) = HeaderValue::from_str(&join(answered)) {
         headers.insert(HEADER, answered);
     }
@@ -381,9 +388,11 @@
     match result {
         Ok(answer) => match answer.status() {
             StatusCode::OK => End::with_answer(&shared, group, answer, &handover_request),
-            StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE => {
-                End::without_answer(group, Outcome::NotRun)
+            StatusCode::CONFLICT => End::without_answer(group, Outcome::Unsent),
+            StatusCode::SERVICE_UNAVAILABLE if answer.headers().contains_key(UNCALLED_HEADER) => {
+                End::without_answer(group, Outcome::Unsent)
             }
+            StatusCode::SERVICE_UNAVAILABLE => End::without_answer(group, Outcome::NotRun),
             _ => End {
                 lost: lost_leafs(&shared, &answer),
                 ..End::without_answer(group, Outcome::Failed)
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -265,7 +265,7 @@
     let end = gather::run(shared, forwarded, request, query, groups).await;
     trial.end(&end);
     if origin.source == Source::Caller
-        && end.is_refused(forwarded)
+        && !forwarded.sent.get()
         && shared.reachability.borrow().is_cut_off()
     {
         return relay::run(shared, forwarded, plan).await;
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -162,7 +162,7 @@
     /// Handles the outcome of a shard that was handed over to another instance. Without an answer,
     /// this instance calls a leaf directly, unless one of its own calls is in progress, the call
     /// could exceed `max_leafs`, or the request may run only once and may have run. The call counts
-    /// as a retry if the other instance may have called a leaf.
+    /// as a retry if the other instance may have called a leaf, also one that has refused to run it.
     pub fn on_handover_outcome(
         &mut self,
         shard: usize,
@@ -184,8 +184,8 @@
                 self.on_survived(context, calls);
                 return;
             }
-            Outcome::Failed | Outcome::Lost => progress.sent_calls += 1,
-            Outcome::NotRun | Outcome::Unsent => {
+            Outcome::Failed | Outcome::Lost | Outcome::NotRun => progress.sent_calls += 1,
+            Outcome::Unsent => {
                 // The next queries will need the connection too, until the other instance takes
                 // handovers again.
                 progress.handed_over = false;
@@ -233,6 +233,13 @@
             .flat_map(|progress| progress.tried.iter().copied())
     }
 
+    /// Returns whether leafs may have received the request, run or not.
+    #[must_use]
+    pub fn may_have_called(&self) -> bool {
+        let mut shards = self.shards.iter();
+        shards.any(|progress| progress.sent_calls > 0 || progress.pending_handovers > 0)
+    }
+
     /// Returns whether a leaf has survived the request.
     #[must_use]
     pub fn has_survivor(&self) -> bool {
--- a/lib/src/coordination/serving/fanout/message.rs
+++ b/lib/src/coordination/serving/fanout/message.rs
@@ -87,9 +87,10 @@
 pub enum Outcome {
     /// The answer is part of the result.
     Answered,
-    /// The leaf did not run the request.
+    /// A leaf has received the request and not run it.
     NotRun,
-    /// This instance could not send the request, so no leaf has received it.
+    /// No leaf has received the request: it could not be sent, or the instance to which it was handed
+    /// over has called none.
     Unsent,
     /// The leaf failed, or may have run the request without an answer.
     Failed,
--- a/lib/tests/serving_fanout.rs
+++ b/lib/tests/serving_fanout.rs
@@ -407,9 +407,52 @@
     let (mut fanout, _) = Fanout::start(request, &mut world.context(0));
     let mut sends = Vec::new();
     let mut context = world.context(3);
-    fanout.on_handover_outcome(0, Outcome::NotRun, &mut context, &mut sends);
+    fanout.on_handover_outcome(0, Outcome::Unsent, &mut context, &mut sends);
     assert_eq!(sends.len(), 1);
     assert!(!sends[0].replaces_handover);
+    assert!(fanout.may_have_called());
+}
+
+/// Guards against calls beyond the budget for retries: leafs that refused a request at the other
+/// instance have received it. Found on a varied crowd.toml of the large deployment.
+#[test]
+fn a_shard_that_leafs_refused_at_another_instance_needs_retry_budget() {
+    for (extra, calls) in [(0.0, 0), (60.0, 1)] {
+        let bound = Bound {
+            ratio: 0.0,
+            extra,
+            ..BOUND
+        };
+        let mut world = World::with_bound(&LEAFS, bound);
+        let mut request = world.request(&["s1"]);
+        request.shards[0].assignment = ShardAssignment::HandedOver;
+        let (mut fanout, _) = Fanout::start(request, &mut world.context(0));
+        let mut sends = Vec::new();
+        let mut context = world.context(3);
+        fanout.on_handover_outcome(0, Outcome::NotRun, &mut context, &mut sends);
+        assert_eq!(sends.len(), calls);
+        assert!(sends.iter().all(|call| call.extra.is_some()));
+        assert_eq!(fanout.summary().retries, u32::from(calls > 0));
+    }
+}
+
+/// Guards against an instance that reports calls although all leafs were unreachable, or none
+/// although leafs have refused the request.
+#[test]
+fn a_request_counts_as_received_unless_no_call_was_sent() {
+    for (outcome, received) in [(Outcome::Unsent, false), (Outcome::NotRun, true)] {
+        let mut world = World::new(&[("1", "s1", "a")]);
+        let request = world.request(&["s1"]);
+        let (mut fanout, mut calls) = Fanout::start(request, &mut world.context(0));
+        while let Some(call) = calls.pop() {
+            let mut context = world.context(2);
+            fanout.on_outcome(0, call.leaf, outcome, &mut context, &mut calls);
+            if received {
+                break;
+            }
+        }
+        assert_eq!(fanout.may_have_called(), received, "{outcome:?}");
+    }
 }
 
 /// Guards against a shard that is lost with an instance that does not respond: its leafs must be
