serving: keep to what leafs say about further calls

New contracts: a leaf that is leaving says so in all its answers and is to get no requests from an instance that has passed such an answer on; a leaf that refuses with 503 may name a pause in which it wants none from that instance.

A leaving leaf gets no calls until its next incarnation, whatever its entry says. A pause is kept as named: the latest end holds, and no answer to another call shortens it. Requests that cannot be served for this reason are refused at once, with the time until a leaf takes requests again, at most a third of the caller's wait.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -32,6 +32,7 @@
 use hyper::header::HOST;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
 use thiserror::Error;
 use xxhash_rust::xxh3::Xxh3Default;
 
@@ -227,6 +228,7 @@
         Ok(answer) => {
             let call_error = check_answer(&forwarded, &answer);
             record_limit(&shared, call.leaf, in_flight.started, call_error, &answer);
+            record_wishes(&shared, call.leaf, call_error, &answer);
             (call_error, Some(answer))
         }
         Err(error) => {
@@ -334,6 +336,53 @@
     }
 }
 
+/// Records what a leaf's answer says about further calls: that it is leaving, or wants none for a
+/// while. Answers of another leaf or to another request say nothing about it.
+fn record_wishes(
+    shared: &Shared,
+    leaf: LeafKey,
+    call_error: Option<CallError>,
+    answer: &Response<Bytes>,
+) {
+    if matches!(
+        call_error,
+        Some(CallError::Replaced | CallError::WrongRequest)
+    ) {
+        return;
+    }
+    let headers = answer.headers();
+    let mut fleet = shared.fleet.borrow_mut();
+    let id = fleet.get(leaf).map(|leaf| leaf.entry().id.clone());
+    let id = id.as_deref().unwrap_or("gone");
+    if headers
+        .get(header::LEAVING)
+        .is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+        && fleet.on_leaving(leaf)
+    {
+        log::info!(leaf = id; "the leaf says that it is leaving; it gets no further calls");
+    }
+    let wanted = headers.get(RETRY_AFTER);
+    let Some(wanted) = wanted.filter(|_| answer.status() == StatusCode::SERVICE_UNAVAILABLE) else {
+        return;
+    };
+    let rest = wanted.to_str().ok().and_then(parse_rest);
+    match rest.and_then(|rest| shared.now().checked_add(rest)) {
+        Some(until) => {
+            metrics::counter!("camphorhold_rests_total").increment(1);
+            fleet.on_rest(leaf, until);
+        }
+        None => {
+            log::info!(leaf = id, value:? = wanted; "invalid pause of a leaf ignored");
+        }
+    }
+}
+
+/// Parses a number of seconds, which may have a fraction.
+fn parse_rest(value: &str) -> Option<Duration> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 async fn exchange(
     shared: &Rc<Shared>,
     forwarded: &ForwardedRequest,
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -180,9 +180,9 @@
             log::info!(leaf = &*leaf; "leaf entry not restored after a store outage; leaf removed");
         }
         let fleet = shared.fleet.borrow();
-        shared
-            .leaf_pool
-            .sweep(now, |leaf| fleet.get(leaf).is_some());
+        shared.leaf_pool.sweep(now, |leaf| {
+            fleet.get(leaf).is_some_and(|leaf| !leaf.is_leaving())
+        });
         shared.peer_pool.sweep(now, |_| true);
         drop(fleet);
         let limits = shared.plan.borrow().as_ref().map(|plan| plan.limits());
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -383,15 +383,29 @@
     request: &mut fanout::Request,
     wait: Duration,
 ) -> Result<(), Duration> {
+    let now = shared.now();
+    let fleet = shared.fleet.borrow();
+    let rest_end = request
+        .shards
+        .iter()
+        .filter_map(|shard| fleet.rest_end(&shard.service, now))
+        .filter(|end| *end > request.deadline)
+        .max();
+    let pause = rest_end.map_or(LEAF_RETURN_TIME, |end| end.saturating_duration_since(now));
+    let pause = pause.min(wait.mul_f64(LONGEST_PAUSE_SHARE));
     if !request.limits_concurrency {
-        return Ok(());
+        // A request to one service fails by itself if there is no leaf.
+        return if rest_end.is_some() {
+            Err(pause)
+        } else {
+            Ok(())
+        };
     }
     let limits = shared.concurrency_limits.borrow();
-    let fleet = shared.fleet.borrow();
     let mut without_leafs = 0;
     let mut full = 0;
     for shard in &mut request.shards {
-        if !fleet.has_candidates(&shard.service) {
+        if !fleet.has_candidates(&shard.service, request.deadline) {
             without_leafs += 1;
         } else if !limits.has_room(&shard.service) {
             full += 1;
@@ -413,7 +427,7 @@
     if !can_answer(without_leafs) {
         metrics::counter!("camphorhold_requests_total", "outcome" => "no_leafs").increment(1);
         log::info!(request = forwarded.id(), route = route, without_leafs = without_leafs, in_scope = in_scope; "request refused: too many of its shards have no leaf");
-        return Err(LEAF_RETURN_TIME.min(wait.mul_f64(LONGEST_PAUSE_SHARE)));
+        return Err(pause);
     }
     if !can_answer(without_leafs + full) {
         metrics::counter!("camphorhold_requests_total", "outcome" => "crowded").increment(1);
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -475,8 +475,9 @@
             } else {
                 self.refuse_by
             };
-            let waits = context.fleet.has_candidates(&self.shards[shard].service)
-                && context.now + RECHECK < limit;
+            let service = &self.shards[shard].service;
+            let waits =
+                context.now + RECHECK < limit && context.fleet.has_candidates(service, limit);
             self.wait_or_fail(shard, waits, context);
             return;
         };
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -130,7 +130,11 @@
                 leaf.kept_until = None;
                 return Some(key);
             }
+            // Without the time of its start, an incarnation shows by counting its writes anew.
+            let counts_anew =
+                entry.started_unix_ms.is_none() && entry.write_number < leaf.entry.write_number;
             let same = leaf.entry.started_unix_ms == entry.started_unix_ms
+                && !counts_anew
                 && leaf.entry.address == entry.address
                 && leaf.entry.service == entry.service;
             if same {
@@ -317,17 +321,45 @@
             .map(|(key, _)| key)
     }
 
-    /// Returns whether any leaf of a service may receive work, now or after its backoff.
+    /// Returns whether any leaf of a service may receive work, now or after its backoff, at the
+    /// latest at `by`.
     #[must_use]
-    pub fn has_candidates(&self, service: &str) -> bool {
+    pub fn has_candidates(&self, service: &str, by: Instant) -> bool {
         self.by_service.get(service).is_some_and(|members| {
             members
                 .iter()
                 .filter_map(|key| self.leafs.get(*key))
-                .any(|leaf| self.is_permitted(leaf))
+                .any(|leaf| self.is_permitted(leaf) && !leaf.rests(by))
         })
     }
 
+    /// Returns when the first leaf of a service takes requests again, if all that may receive work
+    /// have asked for none at `now`.
+    #[must_use]
+    pub fn rest_end(&self, service: &str, now: Instant) -> Option<Instant> {
+        let members = self.by_service.get(service)?;
+        let ends = members
+            .iter()
+            .filter_map(|key| self.leafs.get(*key))
+            .filter(|leaf| self.is_permitted(leaf))
+            .map(|leaf| leaf.rest_end().filter(|end| *end > now));
+        // A leaf without a rest makes the result `None`.
+        ends.collect::<Option<Vec<Instant>>>()?.into_iter().min()
+    }
+
+    /// Records that a leaf's answer says that it is leaving. It gets no further calls, whatever its
+    /// entry says, until it has started again. Returns whether this is new.
+    pub fn on_leaving(&mut self, key: LeafKey) -> bool {
+        self.leafs.get_mut(key).is_some_and(Leaf::on_leaving)
+    }
+
+    /// Records that a leaf has refused a call and asked for no further ones until `until`.
+    pub fn on_rest(&mut self, key: LeafKey, until: Instant) {
+        if let Some(leaf) = self.leafs.get_mut(key) {
+            leaf.on_rest(until);
+        }
+    }
+
     /// Returns whether a service has a leaf in `domain` that may receive work and is not backing
     /// off.
     #[must_use]
@@ -340,12 +372,14 @@
                     &*leaf.entry.domain == domain
                         && self.is_permitted(leaf)
                         && !leaf.is_backing_off(now)
+                        && !leaf.rests(now)
                 })
         })
     }
 
     fn is_permitted(&self, leaf: &Leaf) -> bool {
         leaf.entry.standing == Standing::Ready
+            && !leaf.is_leaving()
             && !self.evacuated.contains(&leaf.entry.domain)
             && !self.is_excluded(leaf)
     }
@@ -368,6 +402,7 @@
     fn is_open(&self, leaf: &Leaf, limits: LeafLimits, now: Instant) -> bool {
         self.is_permitted(leaf)
             && !leaf.is_backing_off(now)
+            && !leaf.rests(now)
             && leaf.in_flight() < self.connection_limit(limits)
             && self.cold_rate_allows(leaf, limits, now)
             && leaf.limit_allows(now)
--- a/lib/src/coordination/serving/fleet/leaf.rs
+++ b/lib/src/coordination/serving/fleet/leaf.rs
@@ -147,6 +147,9 @@
     // Send times of the calls of the last second, recorded only while the leaf is cold.
     cold_calls: Vec<Instant>,
     limit: Option<NamedLimit>,
+    is_leaving: bool,
+    // Until when the leaf has asked for no requests.
+    rests_until: Option<Instant>,
 }
 
 impl Leaf {
@@ -165,9 +168,37 @@
             backoff_until: None,
             cold_calls: Vec::new(),
             limit: None,
+            is_leaving: false,
+            rests_until: None,
         }
     }
 
+    /// Returns whether an answer of the leaf has said that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Records that an answer says that the leaf is leaving. Returns whether this is new.
+    pub(super) fn on_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Records that the leaf has asked for no requests until a time. The latest one holds.
+    pub(super) fn on_rest(&mut self, until: Instant) {
+        self.rests_until = self.rests_until.max(Some(until));
+    }
+
+    /// Returns until when the leaf has asked for no requests.
+    pub(super) fn rest_end(&self) -> Option<Instant> {
+        self.rests_until
+    }
+
+    /// Returns whether the leaf has asked for no requests at a time.
+    pub(super) fn rests(&self, at: Instant) -> bool {
+        self.rests_until.is_some_and(|until| at < until)
+    }
+
     /// Returns whether the leaf has warmed up and takes the usual load.
     pub(super) fn is_warm(&self, now: Instant) -> bool {
         now >= self.cold_until
--- a/lib/tests/serving_fleet.rs
+++ b/lib/tests/serving_fleet.rs
@@ -207,7 +207,7 @@
     fleet.on_sent(near, ms(20), now);
     fleet.on_result(near, now, CallResult::Disconnected, now);
     assert_eq!(chosen(&fleet, now + ms(10)), None);
-    assert!(fleet.has_candidates("s"));
+    assert!(fleet.has_candidates("s", now + ms(100)));
     let later = now + ms(50);
     assert_eq!(chosen(&fleet, later).as_deref(), Some("near"));
     fleet.on_sent(near, ms(20), later);
@@ -355,3 +355,52 @@
     assert!(fleet.update(written(5, Standing::Ready), now).is_some());
     assert_eq!(chosen(&fleet, now).as_deref(), Some("near"));
 }
+
+/// Guards against calls to a leaf that has said that it is leaving, while its entry says that it is
+/// ready, and against a leaf that is never used again after a restart.
+#[test]
+fn a_leaving_leaf_gets_no_calls_until_it_has_started_again() {
+    for started in [None, Some(7)] {
+        let now = Instant::now();
+        let mut fleet = fleet(&[("far", "s", "b")], now);
+        let mut near = entry("near", "s", "a");
+        near.started_unix_ms = started;
+        near.write_number = 5;
+        let leaf = fleet.update(near.clone(), now).expect("an entry");
+        assert!(fleet.on_leaving(leaf));
+        assert!(!fleet.on_leaving(leaf));
+        near.write_number = 6;
+        fleet.update(near.clone(), now);
+        assert_eq!(chosen(&fleet, now + ms(60_000)).as_deref(), Some("far"));
+        near.write_number = 1;
+        near.started_unix_ms = started.map(|started| started + 1);
+        fleet.update(near, now);
+        assert_eq!(chosen(&fleet, now).as_deref(), Some("near"));
+    }
+}
+
+/// Guards against calls to a leaf that has asked for none for a while, also after answers to other
+/// calls and after a second, shorter wish, and against waiting for it.
+#[test]
+fn a_resting_leaf_gets_no_calls() {
+    let now = Instant::now();
+    let mut fleet = fleet(&[("near", "s", "a")], now);
+    let near = key(&fleet, "near", now);
+    fleet.on_sent(near, ms(20), now);
+    fleet.on_sent(near, ms(20), now + ms(1));
+    fleet.on_result(near, now, CallResult::Refused, now + ms(5));
+    fleet.on_rest(near, now + ms(2_005));
+    fleet.on_result(
+        near,
+        now + ms(1),
+        CallResult::Answered(ms(20)),
+        now + ms(21),
+    );
+    fleet.on_rest(near, now + ms(500));
+    assert_eq!(chosen(&fleet, now + ms(2_004)), None);
+    assert!(!fleet.has_candidates("s", now + ms(2_004)));
+    assert!(fleet.has_candidates("s", now + ms(2_005)));
+    assert_eq!(fleet.rest_end("s", now + ms(100)), Some(now + ms(2_005)));
+    assert_eq!(fleet.rest_end("s", now + ms(2_005)), None);
+    assert_eq!(chosen(&fleet, now + ms(2_005)).as_deref(), Some("near"));
+}
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -42,6 +42,9 @@
     Repeat,
     /// It runs the request and closes the connection 4 bytes before the end of the answer.
     Truncate,
+    /// It runs the request, sends that many bytes of the head of the answer and closes the
+    /// connection.
+    TruncateHead(usize),
     /// It runs the request, and closes the connection before the last chunk of the answer.
     TruncateChunks,
     /// It runs the request, and resets the connection in the middle of an answer without a length.
@@ -50,6 +53,8 @@
     Flood(Flood),
     /// It answers 503 with `X-Camphorhold-Not-Executed` and does not run the request.
     Refuse,
+    /// As [`Behaviour::Refuse`], with `Retry-After` in milliseconds, sent as a fraction of seconds.
+    RefuseFor(u64),
     /// It answers 421 with the id of another leaf, as if that leaf had taken over its address, and
     /// does not run the request.
     Misdirect,
@@ -159,6 +164,8 @@
     behaviour: Behaviour,
     limit: Option<f64>,
     poison: Option<String>,
+    leaving: bool,
+    arrivals: Vec<Instant>,
     runs: Vec<Run>,
     open_connections: usize,
 }
@@ -276,6 +283,23 @@
         *self.ends.borrow()
     }
 
+    /// Sets whether its answers say that it is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.lock().leaving = leaving;
+    }
+
+    /// Returns when requests have reached it, those that it refused included, oldest first.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Returns the length of the head of its answer to a request with this id.
+    #[must_use]
+    pub fn head_length(&self, request: &str) -> usize {
+        self.answer(request).len() - self.record().len()
+    }
+
     /// Returns the requests it has started to run, oldest first.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -293,10 +317,13 @@
     }
 
     fn answer(&self, request: &str) -> Vec<u8> {
-        let framing = match self.lock().limit {
+        let mut framing = match self.lock().limit {
             Some(limit) => format!("Content-Length: 16\r\nServer-Limit: {limit}"),
             None => "Content-Length: 16".into(),
         };
+        if self.lock().leaving {
+            framing.push_str("\r\nServer-Leaving: 1");
+        }
         let mut answer = answer_head(&self.id, request, &framing).into_bytes();
         answer.extend_from_slice(&self.record());
         answer
@@ -355,13 +382,17 @@
 async fn serve_connection(mut stream: TcpStream, leaf: &Leaf) -> std::io::Result<()> {
     while let Some(run) = read_request(&mut stream).await? {
         let behaviour = leaf.lock().behaviour;
+        leaf.lock().arrivals.push(run.at);
         let id = run.request.clone();
         if leaf.lock().poison.as_ref() == Some(&run.path) {
             leaf.lock().runs.push(run);
             leaf.ends.send_modify(|ends| *ends += 1);
             return Ok(());
         }
-        if !matches!(behaviour, Behaviour::Refuse | Behaviour::Misdirect) {
+        if !matches!(
+            behaviour,
+            Behaviour::Refuse | Behaviour::RefuseFor(_) | Behaviour::Misdirect
+        ) {
             leaf.lock().runs.push(run);
         }
         let answer = leaf.answer(&id);
@@ -390,12 +421,22 @@
                 tokio::time::sleep(RESET_DELAY).await;
                 return stream.set_zero_linger();
             }
+            Behaviour::TruncateHead(length) => return stream.write_all(&answer[..length]).await,
             Behaviour::Truncate => return stream.write_all(&answer[..answer.len() - 4]).await,
             Behaviour::Refuse => {
                 let refusal = "HTTP/1.1 503 Service Unavailable\r\n\
                     X-Camphorhold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
                 stream.write_all(refusal.as_bytes()).await?;
             }
+            Behaviour::RefuseFor(pause) => {
+                let refusal = format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nX-Camphorhold-Not-Executed: 1\r\n\
+                     Retry-After: {}.{:03}\r\nContent-Length: 0\r\n\r\n",
+                    pause / 1_000,
+                    pause % 1_000
+                );
+                stream.write_all(refusal.as_bytes()).await?;
+            }
             Behaviour::Misdirect => {
                 let refusal = "HTTP/1.1 421 Misdirected Request\r\n\
                     X-Camphorhold-Instance-Id: another\r\nContent-Length: 0\r\n\r\n";
