--- a/instance/tests/hostile.rs
+++ b/instance/tests/hostile.rs
@@ -120,3 +120,100 @@
         assert_eq!(answer.status(), StatusCode::OK);
     }
 }
+
+/// Guards against a process that ends, or a list of leafs that is no longer followed, because
+/// another writer left an odd entry among those of the leafs.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_entries_among_the_leafs_neither_end_nor_stall_an_instance() {
+    let platform = Platform::start(&[("s1", "a"), ("s1", "b")]).await;
+    let mut instance = Instance::start(&platform, "1", "a").await;
+    let near = &platform.leafs[0];
+    let entry = |field: &str, value: &str| {
+        let entry = near.entry("ready").to_string();
+        let mut fields: serde_json::Map<String, serde_json::Value> =
+            serde_json::from_str(&entry).expect("an object");
+        // No leaf listens there, if the entry is used at all.
+        fields.insert("address".into(), "127.0.0.1:1".into());
+        fields.remove(field);
+        let rest = serde_json::to_string(&fields).expect("an object");
+        format!("{},\"{field}\":{value}}}", &rest[..rest.len() - 1])
+    };
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let unclosed = "{\"service\":".repeat(100_000);
+    let odd = [
+        nested.clone(),
+        unclosed,
+        entry("extra", &nested),
+        entry("service", &nested),
+        entry("cold_left_ms", "1e400"),
+        entry("cold_left_ms", "18446744073709551615"),
+        entry("cold_left_ms", "99999999999999999999999999"),
+        entry("concurrency", "4294967296"),
+        entry("concurrency", "0"),
+        entry("sequence", "-1"),
+        entry("born", "18446744073709551615"),
+        entry("born", "1e308"),
+        entry("address", "\"127.0.0.1:65536\""),
+        entry("address", "\"127.0.0.1:0\""),
+        entry("address", "\"127.0.0.1:-1\""),
+    ];
+    for (round, value) in odd.iter().enumerate() {
+        platform.store.put_bytes("servers/odd", value.as_bytes());
+        // A change of a leaf that follows shows that the entry has been read.
+        let (state, expected) = if round % 2 == 0 {
+            ("draining", "i-1-r1")
+        } else {
+            ("ready", "i-0-r1")
+        };
+        platform.store.put(&near.key(), &near.entry(state));
+        support::wait_until("a later change is in force", || async {
+            let answer = instance.send("r1", "/one/x").await.expect("an answer");
+            stamp(&answer) == expected
+        })
+        .await;
+        // Also when it is read with the whole list.
+        if round % 5 == 0 {
+            instance.kill();
+            instance.restart().await;
+            let answer = instance.send("r1", "/one/x").await.expect("an answer");
+            assert_eq!(answer.status(), StatusCode::OK, "round {round}");
+        }
+    }
+    let panics = instance.counter("camphorhold_task_panics_total").await;
+    assert_eq!(panics, 0);
+    assert!(instance.is_ready().await);
+}
+
+/// Guards against a leaf that stops in the middle of its answer's head: no caller may get a success
+/// that is empty or short.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_breaks_off_in_its_head_is_no_success() {
+    let platform = Platform::start(&[("s1", "a"), ("s1", "b")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let [near, far] = &platform.leafs[..] else {
+        panic!("there are two leafs");
+    };
+    let head = near.head_length("r-000");
+    // The ends of lines and of the head are among them.
+    let lengths = (0..head).step_by(11).chain([17, head - 2, head - 1, head]);
+    for length in lengths {
+        near.set_behaviour(Behaviour::TruncateHead(length));
+        far.set_behaviour(Behaviour::TruncateHead(length));
+        for path in ["/one/x", "/once/x", "/all/x"] {
+            let id = format!("r-{length:03}");
+            let answer = instance.send(&id, path).await.expect("an answer");
+            assert!(
+                !answer.status().is_success(),
+                "{path} after {length} bytes: {answer:?}"
+            );
+            assert!(answer.body().is_empty(), "{path} after {length} bytes");
+        }
+        far.set_behaviour(Behaviour::Answer);
+        let id = format!("s-{length:03}");
+        let answer = instance.send(&id, "/one/x").await.expect("an answer");
+        if answer.status().is_success() {
+            assert_eq!(stamp(&answer), format!("i-1-{id}"));
+            assert_eq!(answer.body(), &far.record()[..]);
+        }
+    }
+}
