instance: answer every request that a stopping instance has read

Cause: the end of the grace period ended the process and with it whatever was in progress, and connections were closed, and listeners dropped, with requests in them that had arrived and not been read.

Change: listeners stay open until the end. Once the load balancer has stopped sending connections, new requests are refused (not run), what has arrived is read first, and 0.4 s before the end of the grace period what is left gets 504, which promises nothing.

Result: both tests pass, and those of the other files of instance/.

--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -51,6 +51,7 @@
 use crate::handover::HandoverRequest;
 use crate::handover::Query;
 use crate::relay;
+use crate::shared::Phase;
 use crate::shared::Shared;
 use crate::tokens;
 
@@ -102,6 +103,9 @@
 /// The share of the latency objective after which a request is refused if no call could be sent.
 const REFUSAL_SHARE: f64 = 0.2;
 
+/// When callers that are refused by a stopping instance should try again. Others can serve them.
+const STOPPING_PAUSE: Duration = Duration::from_millis(10);
+
 /// When leafs without an entry are expected back, for callers that are refused for want of leafs.
 /// Entries that lapsed in an outage of the store are restored within 2 s of its end.
 const LEAF_RETURN_TIME: Duration = Duration::from_secs(1);
@@ -159,6 +163,10 @@
     if origin.source == Source::Instance && request.headers().contains_key(tokens::HEADER) {
         return tokens::serve(&shared, request).await;
     }
+    if origin.source == Source::Caller && shared.phase.get() == Phase::Closing {
+        log::info!(request = request_id(request.headers()); "request refused: the instance is stopping");
+        return refuse(STOPPING_PAUSE);
+    }
     let plan = shared.wait_for_plan().await;
     let Some(plan) = plan else {
         log::info!(request = request_id(request.headers()); "request refused: no configuration yet");
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -35,6 +35,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::answer::empty_response;
 use crate::request;
 use crate::request::Origin;
 use crate::request::Source;
@@ -58,6 +59,9 @@
 /// The longest time that a connection may stay idle while there is no configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// How long a connection that was accepted while the instance is closing may wait for its request.
+const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Pause after a failed accept. Without it the loop would repeat the call at once and use the whole
 /// core while the failure lasts.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -99,6 +103,17 @@
         }
     }
 
+    /// Closes the connections that have been idle for [`CLOSING_IDLE_TIMEOUT`], once the load balancer
+    /// has stopped sending new ones.
+    pub fn close_idle(&self, now: Instant) {
+        for (_, activity) in self.open.borrow().iter() {
+            let idle_for = now.saturating_duration_since(activity.idle_since.get());
+            if !activity.busy.get() && idle_for > CLOSING_IDLE_TIMEOUT {
+                activity.close.notify_one();
+            }
+        }
+    }
+
     /// Closes every connection. A busy one closes after its request has ended; one with an
     /// incomplete request head is dropped at once.
     pub fn close_all(&self) {
@@ -290,8 +305,18 @@
         first,
         source,
     };
-    let mut response = request::handle(Rc::clone(shared), request, origin).await;
-    if shared.phase.get() == Phase::Stopping {
+    let answers_due = shared.answers_due.notified();
+    let mut response = tokio::select! {
+        biased;
+        response = request::handle(Rc::clone(shared), request, origin) => response,
+        () = answers_due => {
+            log::warn!("request ended with 504: the process is about to end");
+            metrics::counter!("camphorhold_requests_total", "outcome" => "timed_out").increment(1);
+            // Promises nothing: a leaf may be running the request.
+            empty_response(StatusCode::GATEWAY_TIMEOUT)
+        }
+    };
+    if matches!(shared.phase.get(), Phase::Stopping | Phase::Closing) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -78,6 +78,9 @@
     Serving,
     /// The instance has received SIGTERM. Requests are still served, but handovers are refused.
     Stopping,
+    /// The load balancer has stopped sending new connections. Requests that arrive now are refused,
+    /// and those in progress are finished.
+    Closing,
 }
 
 /// The state of the instance, created once per process.
@@ -127,6 +130,9 @@
     pub store_restored: Notify,
     /// The phase of the instance. Only moves forward.
     pub phase: Cell<Phase>,
+    /// Wakes the requests in progress when they have to be answered, because the process is about to
+    /// end.
+    pub answers_due: Notify,
     /// The number of requests in progress, handovers from other instances included.
     pub in_progress: Cell<usize>,
     profiles: RefCell<HashMap<Box<str>, RouteProfile>>,
@@ -172,6 +178,7 @@
             last_store_answer: Cell::new(now),
             store_restored: Notify::new(),
             phase: Cell::new(Phase::Starting),
+            answers_due: Notify::new(),
             in_progress: Cell::new(0),
             profiles: RefCell::default(),
             splits: RefCell::default(),
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -280,6 +280,21 @@
     connection.exchange(request(id, path), 1 << 20).await
 }
 
+/// Sends a request whose caller waits for that long, and returns its answer.
+pub async fn exchange_within(
+    connection: &mut Connection,
+    id: &str,
+    path: &str,
+    wait: Duration,
+) -> Result<Response<Bytes>, Error> {
+    let mut request = request(id, path);
+    let wait = u64::try_from(wait.as_millis()).unwrap();
+    request
+        .headers_mut()
+        .insert("x-camphorhold-deadline-ms", wait.into());
+    connection.exchange(request, 1 << 20).await
+}
+
 fn request(id: &str, path: &str) -> Request<Full<Bytes>> {
     Request::builder()
         .method(Method::GET)
