instance: handle signals before anything else

The handlers were installed by the runtime, which was created last. Runtime and handlers come first now. a_signal_right_after_the_start_does_not_end_the_process holds the process in the reading of its settings and sends SIGHUP.

--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -53,7 +53,15 @@
 }
 
 fn main() -> ExitCode {
-    match run(&Arguments::parse()) {
+    // Before anything else, since a signal that has no handler ends the process.
+    let process = match process::Process::new() {
+        Ok(process) => process,
+        Err(error) => {
+            eprintln!("cannot create the runtime or a signal handler: {error}");
+            return ExitCode::from(EXIT_START_FAILED);
+        }
+    };
+    match run(&Arguments::parse(), process) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("{report:?}");
@@ -62,7 +70,7 @@
     }
 }
 
-fn run(arguments: &Arguments) -> miette::Result<()> {
+fn run(arguments: &Arguments, process: process::Process) -> miette::Result<()> {
     let settings = Settings::read(&arguments.settings).into_diagnostic()?;
     if arguments.check {
         println!("{settings:#?}");
@@ -71,7 +79,7 @@
     let (_logger, flush) = logging::start(&arguments.log).into_diagnostic()?;
     let metrics_address = SocketAddr::new(settings.caller_address.ip(), arguments.metrics_port);
     let handle = exposition::install().into_diagnostic()?;
-    let result = process::run(settings, &arguments.settings, (metrics_address, handle));
+    let result = process.run(settings, &arguments.settings, (metrics_address, handle));
     flush.flush();
     Ok(result?)
 }
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -12,6 +12,7 @@
 use camphorhold_platform::settings::Settings;
 use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
+use tokio::runtime::Runtime;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -53,35 +54,60 @@
         /// The error of the operating system.
         source: std::io::Error,
     },
-    /// The runtime or a signal handler cannot be created.
-    #[error("cannot create the runtime or a signal handler: {0}")]
-    Runtime(#[from] std::io::Error),
 }
 
-/// Runs an instance until SIGTERM, then shuts it down. SIGHUP reloads the settings file at `path`.
-///
-/// # Errors
-///
-/// Returns an error if the instance cannot start.
-pub fn run(
-    settings: Settings,
-    path: &Path,
-    metrics: (SocketAddr, PrometheusHandle),
-) -> Result<(), StartError> {
-    // A single thread: an instance gets a fraction of one core, and its state needs no locks.
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, serve(settings, path, metrics))
+/// A process that handles its signals, but does nothing else yet.
+pub struct Process {
+    runtime: Runtime,
+    terminate: Signal,
+    reload: Signal,
+}
+
+impl Process {
+    /// Creates the runtime and the signal handlers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one of them cannot be created.
+    pub fn new() -> std::io::Result<Self> {
+        // A single thread: an instance gets a fraction of one core, and its state needs no locks.
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let context = runtime.enter();
+        let terminate = signal(SignalKind::terminate())?;
+        let reload = signal(SignalKind::hangup())?;
+        drop(context);
+        Ok(Self {
+            runtime,
+            terminate,
+            reload,
+        })
+    }
+
+    /// Runs an instance until SIGTERM, then shuts it down. SIGHUP reloads the settings file at
+    /// `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instance cannot start.
+    pub fn run(
+        self,
+        settings: Settings,
+        path: &Path,
+        metrics: (SocketAddr, PrometheusHandle),
+    ) -> Result<(), StartError> {
+        let signals = (self.terminate, self.reload);
+        LocalSet::new().block_on(&self.runtime, serve(settings, path, metrics, signals))
+    }
 }
 
 async fn serve(
     settings: Settings,
     path: &Path,
     metrics: (SocketAddr, PrometheusHandle),
+    (mut terminate, mut reload): (Signal, Signal),
 ) -> Result<(), StartError> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
     let callers = listen(settings.caller_address)?;
     let readiness = listen(settings.readiness_address)?;
     let peers = listen(settings.peer_address)?;
--- a/instance/tests/shutdown.rs
+++ b/instance/tests/shutdown.rs
@@ -3,14 +3,20 @@
 
 mod support;
 
+use std::process::Command;
+use std::process::Stdio;
 use std::time::Duration;
 
 use camphorhold_testutils::platform::leaf::Behaviour;
 use hyper::StatusCode;
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
 use support::Instance;
 use support::Platform;
 use support::exchange;
 use support::exchange_within;
+use support::program;
 use support::wait_until;
 
 /// Later than the load balancer may send new connections, and before the end of the grace period of
@@ -82,3 +88,33 @@
         assert!(answer.is_ok(), "{name}: {answer:?}");
     }
 }
+
+/// Guards against a process that a signal ends because it was sent right after the start, before
+/// the settings were read and the log was set up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_signal_right_after_the_start_does_not_end_the_process() {
+    let mut process = Command::new(program())
+        .args(["--settings", "/dev/stdin"])
+        .stdin(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    // The process waits for the settings now.
+    wait_until("the handlers are installed", || {
+        std::future::ready(handles(process.id(), Signal::SIGHUP))
+    })
+    .await;
+    let id = Pid::from_raw(i32::try_from(process.id()).unwrap());
+    kill(id, Signal::SIGHUP).unwrap();
+    drop(process.stdin.take());
+    let status = process.wait().unwrap();
+    assert_eq!(status.code(), Some(2), "{status}: the settings are empty");
+}
+
+/// Returns whether a process has a handler for a signal.
+fn handles(process: u32, signal: Signal) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+    let handled = u64::from_str_radix(line.unwrap_or("0").trim(), 16).unwrap_or(0);
+    handled & (1 << (signal as u32 - 1)) != 0
+}
