--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -227,8 +227,10 @@
     let (call_error, answer) = match result {
         Ok(answer) => {
             let call_error = check_answer(&forwarded, &answer);
-            record_limit(&shared, call.leaf, in_flight.started, call_error, &answer);
-            record_wishes(&shared, call.leaf, call_error, &answer);
+            if comes_from_leaf(call_error) {
+                record_limit(&shared, call.leaf, in_flight.started, call_error, &answer);
+                record_wishes(&shared, call.leaf, &answer);
+            }
             (call_error, Some(answer))
         }
         Err(error) => {
@@ -290,8 +292,17 @@
     }
 }
 
-/// Records whether a leaf's answer names a limit on requests. Answers of another leaf or to another
-/// request say nothing about it, and only a usable answer shows that there is none.
+/// Returns whether an answer says something about the leaf that was called. Answers of another leaf
+/// or to another request do not.
+fn comes_from_leaf(call_error: Option<CallError>) -> bool {
+    !matches!(
+        call_error,
+        Some(CallError::Replaced | CallError::WrongRequest)
+    )
+}
+
+/// Records whether a leaf's answer names a limit on requests. Only a usable answer shows that there
+/// is none.
 fn record_limit(
     shared: &Shared,
     leaf: LeafKey,
@@ -299,12 +310,6 @@
     call_error: Option<CallError>,
     answer: &Response<Bytes>,
 ) {
-    if matches!(
-        call_error,
-        Some(CallError::Replaced | CallError::WrongRequest)
-    ) {
-        return;
-    }
     let value = answer.headers().get(header::REQUEST_LIMIT);
     let named = value.map(|value| value.to_str().unwrap_or_default().parse::<RequestRate>());
     let named = match named {
@@ -337,19 +342,8 @@
 }
 
 /// Records what a leaf's answer says about further calls: that it is leaving, or wants none for a
-/// while. Answers of another leaf or to another request say nothing about it.
-fn record_wishes(
-    shared: &Shared,
-    leaf: LeafKey,
-    call_error: Option<CallError>,
-    answer: &Response<Bytes>,
-) {
-    if matches!(
-        call_error,
-        Some(CallError::Replaced | CallError::WrongRequest)
-    ) {
-        return;
-    }
+/// while.
+fn record_wishes(shared: &Shared, leaf: LeafKey, answer: &Response<Bytes>) {
     let headers = answer.headers();
     let mut fleet = shared.fleet.borrow_mut();
     let id = fleet.get(leaf).map(|leaf| leaf.entry().id.clone());
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -26,8 +26,6 @@
 use camphorhold::state::plan::Scope;
 use camphorhold::state::plan::Target;
 use camphorhold::transport::http;
-use camphorhold::transport::http::Connection;
-use camphorhold::transport::http::TcpOptions;
 use camphorhold_platform::header;
 use hyper::HeaderMap;
 use hyper::Response;
@@ -37,6 +35,7 @@
 use thiserror::Error;
 
 use crate::call::ForwardedRequest;
+use crate::peer;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
@@ -78,15 +77,6 @@
 /// as many records as the answer to the caller.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
-/// Options of connections to other instances.
-pub const TCP_OPTIONS: TcpOptions = TcpOptions {
-    // A round trip within a region takes a few milliseconds, and the query has to run in the time
-    // that remains.
-    connect_timeout: Duration::from_millis(25),
-    user_timeout: Duration::from_secs(1),
-    keepalive_interval: None,
-};
-
 /// The shards that are handed over, and the time within which their answer is due. Its text form,
 /// the value of [`HEADER`], is `version;milliseconds;shard,shard,...`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -462,11 +452,6 @@
     handover_request: HandoverRequest,
     group: ShardGroup,
 ) -> Result<Response<Bytes>, http::Error> {
-    let address = group.address;
-    let mut connection = match shared.peer_pool.take(address, shared.now()) {
-        Some(connection) => connection,
-        None => Connection::open(address, TCP_OPTIONS).await?,
-    };
     let mut request = forwarded.to_request();
     let headers = request.headers_mut();
     if let Ok(handover_request) = HeaderValue::from_str(&handover_request.to_string()) {
@@ -485,14 +470,11 @@
     let left = forwarded.deadline.saturating_duration_since(shared.now());
     let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
     headers.insert(header::DEADLINE_MS, HeaderValue::from(left));
+    let mut connection = peer::connect(&shared, group.address).await?;
     forwarded.sent.set(true);
     let answer = connection
         .exchange_within(request, MAX_ANSWER_BYTES, &shared.read_budget)
         .await?;
-    if connection.is_usable() {
-        shared
-            .peer_pool
-            .put(address, connection, None, shared.now());
-    }
+    peer::keep(&shared, group.address, connection);
     Ok(answer)
 }
--- a/instance/src/relay.rs
+++ b/instance/src/relay.rs
@@ -5,6 +5,7 @@
 //! goes to the caller unchanged. It refuses the request if it has another version in force, is
 //! starting or stopping, or can reach no leaf either; then the next instance is asked.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,6 @@
 use camphorhold::state::plan::CallSemantics;
 use camphorhold::state::plan::Plan;
 use camphorhold::transport::http;
-use camphorhold::transport::http::Connection;
 use camphorhold_platform::header;
 use http_body_util::Full;
 use hyper::HeaderMap;
@@ -27,7 +27,7 @@
 use crate::answer::refuse;
 use crate::call::ForwardedRequest;
 use crate::handover::InFlight;
-use crate::handover::TCP_OPTIONS;
+use crate::peer;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
@@ -111,17 +111,13 @@
     shared: &Shared,
     forwarded: &ForwardedRequest,
     plan: &Plan,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     left: Duration,
 ) -> Result<Response<Bytes>, http::Error> {
     // As with leafs, a request that may run at most once gets a new connection.
-    let pooled = match forwarded.route.semantics {
-        CallSemantics::Idempotent => shared.peer_pool.take(address, shared.now()),
-        CallSemantics::AtMostOnce => None,
-    };
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => Connection::open(address, TCP_OPTIONS).await?,
+    let mut connection = match forwarded.route.semantics {
+        CallSemantics::Idempotent => peer::connect(shared, address).await?,
+        CallSemantics::AtMostOnce => peer::open(address).await?,
     };
     let mut request = forwarded.to_request();
     let headers = request.headers_mut();
@@ -131,10 +127,6 @@
     let answer = connection
         .exchange_within(request, MAX_ANSWER_BYTES, &shared.read_budget)
         .await?;
-    if connection.is_usable() {
-        shared
-            .peer_pool
-            .put(address, connection, None, shared.now());
-    }
+    peer::keep(shared, address, connection);
     Ok(answer)
 }
--- a/instance/src/tokens.rs
+++ b/instance/src/tokens.rs
@@ -19,7 +19,6 @@
 use camphorhold::coordination::serving::rate_limit::LEASE_LIFETIME;
 use camphorhold::state::rate::InvalidRate;
 use camphorhold::transport::http;
-use camphorhold::transport::http::Connection;
 use futures::future::join_all;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -37,7 +36,7 @@
 use thiserror::Error;
 
 use crate::answer::empty_response;
-use crate::handover::TCP_OPTIONS;
+use crate::peer;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
@@ -265,15 +264,9 @@
         if let Ok(host) = address.to_string().parse() {
             headers.insert(HOST, host);
         }
-        let peer_pool = &self.shared.peer_pool;
-        let mut connection = match peer_pool.take(address, now) {
-            Some(connection) => connection,
-            None => Connection::open(address, TCP_OPTIONS).await?,
-        };
+        let mut connection = peer::connect(&self.shared, address).await?;
         let answer = connection.exchange(request, MAX_BODY_BYTES).await?;
-        if connection.is_usable() {
-            peer_pool.put(address, connection, None, self.shared.now());
-        }
+        peer::keep(&self.shared, address, connection);
         if answer.status() != StatusCode::OK {
             return Err(ClaimError::Refused(answer.status()));
         }
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -4,6 +4,8 @@
 //! instance chooses by its own measurements: latency, calls in flight, refusals and failures.
 
 mod leaf;
+mod rest;
+mod sample;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -226,29 +228,6 @@
         self.by_id.get(id).copied()
     }
 
-    /// Returns up to `count` leafs of any service that are not in `avoid`. `jitter` in 0..1 varies
-    /// which.
-    #[must_use]
-    pub fn sample(&self, avoid: &[LeafKey], count: usize, jitter: f32) -> Vec<LeafKey> {
-        let others: Vec<LeafKey> = self
-            .leafs
-            .keys()
-            .filter(|key| !avoid.contains(key))
-            .collect();
-        let count = count.min(others.len());
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            clippy::cast_precision_loss,
-            reason = "the product lies between 0 and the number of leafs"
-        )]
-        let start = (jitter * others.len() as f32) as usize;
-        // Leafs of one service often follow each other, so the sample is spread over all.
-        (0..count)
-            .map(|index| others[(start + index * others.len() / count) % others.len()])
-            .collect()
-    }
-
     /// Returns the number of leafs of a service, including those that take no work.
     #[must_use]
     pub fn count(&self, service: &str) -> usize {
@@ -333,33 +312,6 @@
         })
     }
 
-    /// Returns when the first leaf of a service takes requests again, if all that may receive work
-    /// have asked for none at `now`.
-    #[must_use]
-    pub fn rest_end(&self, service: &str, now: Instant) -> Option<Instant> {
-        let members = self.by_service.get(service)?;
-        let ends = members
-            .iter()
-            .filter_map(|key| self.leafs.get(*key))
-            .filter(|leaf| self.is_permitted(leaf))
-            .map(|leaf| leaf.rest_end().filter(|end| *end > now));
-        // A leaf without a rest makes the result `None`.
-        ends.collect::<Option<Vec<Instant>>>()?.into_iter().min()
-    }
-
-    /// Records that a leaf's answer says that it is leaving. It gets no further calls, whatever its
-    /// entry says, until it has started again. Returns whether this is new.
-    pub fn on_leaving(&mut self, key: LeafKey) -> bool {
-        self.leafs.get_mut(key).is_some_and(Leaf::on_leaving)
-    }
-
-    /// Records that a leaf has refused a call and asked for no further ones until `until`.
-    pub fn on_rest(&mut self, key: LeafKey, until: Instant) {
-        if let Some(leaf) = self.leafs.get_mut(key) {
-            leaf.on_rest(until);
-        }
-    }
-
     /// Returns whether a service has a leaf in `domain` that may receive work and is not backing
     /// off.
     #[must_use]
