instance: serve what reaches a stopping instance, refuse only at its end

A refusal makes the caller try again elsewhere; an answer is better.

Now what has arrived by then is accepted, read and served, and only a request that has less than its route's objective left before the final answers is refused, as not run.

--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -137,10 +137,11 @@
     spawn("readiness", move || {
         server::serve_readiness(Rc::clone(&state), Rc::clone(&readiness))
     });
-    for (name, listener, source) in [
+    let accept_tasks = [
         ("callers", callers, Source::Caller),
         ("peers", peers, Source::Instance),
-    ] {
+    ]
+    .map(|(name, listener, source)| {
         let state = Rc::clone(&shared);
         let connections = Rc::clone(&connections);
         let listener = Rc::new(listener);
@@ -151,8 +152,8 @@
                 Rc::clone(&listener),
                 source,
             )
-        });
-    }
+        })
+    });
     spawn("metrics", move || {
         exposition::serve(metrics.0, metrics.1.clone())
     });
@@ -161,7 +162,7 @@
     spawn("sweep", move || sweep(Rc::clone(&state), Rc::clone(&open)));
     let mut file = SettingsFile::new(Rc::clone(&shared), path);
     wait_for_termination(&mut terminate, &mut reload, &mut file).await;
-    stop(&shared, &connections).await;
+    stop(&shared, &connections, &accept_tasks).await;
     Ok(())
 }
 
@@ -218,21 +219,23 @@
 /// Serves until the load balancer has taken the instance out of rotation, then closes idle
 /// connections and waits until the requests in progress end. Has those answered that are left when
 /// the grace period is about to end.
-async fn stop(shared: &Shared, connections: &Connections) {
+async fn stop(shared: &Shared, connections: &Connections, accept_tasks: &[JoinHandle<()>]) {
     shared.phase.set(Phase::Stopping);
     let shutdown = Shutdown::new(shared.now(), shared.bounds.get().grace);
+    shared.answers_due_at.set(Some(shutdown.answers_due_at()));
     log::info!(in_progress = shared.in_progress.get(), connections = connections.len(); "stopping");
     while shutdown.is_in_rotation(shared.now()) {
         tokio::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
-    shared.phase.set(Phase::Closing);
-    // Requests that have arrived but were not read yet, for instance while the process did not get
-    // to run, are read and answered before their connections are closed.
+    // Connections and requests that have arrived but were not read yet, for instance while the process
+    // did not get to run, are accepted and read before the connections are closed.
     tokio::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
+    for task in accept_tasks {
+        task.abort();
+    }
     connections.close_all();
-    while connections.len() > 0 && !shutdown.answers_are_due(shared.now()) {
+    while connections.len() > 0 && shared.now() < shutdown.answers_due_at() {
         tokio::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
-        connections.close_idle(shared.now());
     }
     shared.answers_due.notify_waiters();
     while connections.len() > 0 && !shutdown.is_over(shared.now()) {
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -51,7 +51,6 @@
 use crate::handover::Query;
 use crate::refusal::skip_unavailable_shards;
 use crate::relay;
-use crate::shared::Phase;
 use crate::shared::Shared;
 use crate::tokens;
 
@@ -156,10 +155,6 @@
     if origin.source == Source::Instance && request.headers().contains_key(tokens::HEADER) {
         return tokens::serve(&shared, request).await;
     }
-    if origin.source == Source::Caller && shared.phase.get() == Phase::Closing {
-        log::info!(request = request_id(request.headers()); "request refused: the instance is stopping");
-        return refuse(STOPPING_PAUSE);
-    }
     let plan = shared.wait_for_plan().await;
     let Some(plan) = plan else {
         log::info!(request = request_id(request.headers()); "request refused: no configuration yet");
@@ -172,6 +167,10 @@
         log::info!(request = request_id(request.headers()), path = request.uri().path(), config_version = plan.version(); "request answered with 404: no route matches its host and path");
         return empty_response(StatusCode::NOT_FOUND);
     };
+    if origin.source == Source::Caller && ends_within(&shared, route.objective) {
+        log::info!(request = request_id(request.headers()); "request refused: the process is about to end");
+        return refuse(STOPPING_PAUSE);
+    }
     if origin.source == Source::Instance
         && let Some(accepted) = relay::accept(&shared, &plan, request.headers())
     {
@@ -274,6 +273,13 @@
     end.respond(plan, forwarded, origin)
 }
 
+/// Returns whether requests that are in progress after `time` will get no answer from a leaf, because
+/// the process ends.
+fn ends_within(shared: &Shared, time: Duration) -> bool {
+    let due = shared.answers_due_at.get();
+    due.is_some_and(|due| due.saturating_duration_since(shared.now()) < time)
+}
+
 fn find_route(plan: &Plan, request: &Request<Incoming>) -> Option<Arc<Route>> {
     let host_header = request
         .headers()
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -59,9 +59,6 @@
 /// The longest time that a connection may stay idle while there is no configuration.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// How long a connection that was accepted while the instance is closing may wait for its request.
-const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Pause after a failed accept. Without it the loop would repeat the call at once and use the whole
 /// core while the failure lasts.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -103,17 +100,6 @@
         }
     }
 
-    /// Closes the connections that have been idle for [`CLOSING_IDLE_TIMEOUT`], once the load balancer
-    /// has stopped sending new ones.
-    pub fn close_idle(&self, now: Instant) {
-        for (_, activity) in self.open.borrow().iter() {
-            let idle_for = now.saturating_duration_since(activity.idle_since.get());
-            if !activity.busy.get() && idle_for > CLOSING_IDLE_TIMEOUT {
-                activity.close.notify_one();
-            }
-        }
-    }
-
     /// Closes every connection. A busy one closes after its request has ended; one with an
     /// incomplete request head is dropped at once.
     pub fn close_all(&self) {
@@ -316,7 +302,7 @@
             empty_response(StatusCode::GATEWAY_TIMEOUT)
         }
     };
-    if matches!(shared.phase.get(), Phase::Stopping | Phase::Closing) {
+    if shared.phase.get() == Phase::Stopping {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -78,9 +78,6 @@
     Serving,
     /// The instance has received SIGTERM. Requests are still served, but handovers are refused.
     Stopping,
-    /// The load balancer has stopped sending new connections. Requests that arrive now are refused,
-    /// and those in progress are finished.
-    Closing,
 }
 
 /// The state of the instance, created once per process.
@@ -130,6 +127,8 @@
     pub store_restored: Notify,
     /// The phase of the instance. Only moves forward.
     pub phase: Cell<Phase>,
+    /// When requests in progress have to be answered, once the instance is stopping.
+    pub answers_due_at: Cell<Option<Instant>>,
     /// Wakes the requests in progress when they have to be answered, because the process is about to
     /// end.
     pub answers_due: Notify,
@@ -178,6 +177,7 @@
             last_store_answer: Cell::new(now),
             store_restored: Notify::new(),
             phase: Cell::new(Phase::Starting),
+            answers_due_at: Cell::new(None),
             answers_due: Notify::new(),
             in_progress: Cell::new(0),
             profiles: RefCell::default(),
--- a/lib/src/coordination/serving/shutdown.rs
+++ b/lib/src/coordination/serving/shutdown.rs
@@ -1,9 +1,9 @@
 //! Graceful shutdown of an instance.
 //!
 //! The load balancer needs time to notice that the instance is not ready. Until then, new requests
-//! still arrive and are served. Afterwards, new requests are refused, and the instance exits as soon
-//! as no connection is open. Shortly before the end of the grace period, requests that are still in
-//! progress get a final answer.
+//! still arrive and are served. Afterwards, the instance exits as soon as no connection is open.
+//! Shortly before the end of the grace period, requests that are still in progress get a final
+//! answer.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -38,11 +38,11 @@
         now.saturating_duration_since(self.requested) < ROTATION_TIME
     }
 
-    /// Returns whether requests in progress have to be answered, because the grace period is about to
+    /// Returns when requests in progress have to be answered, because the grace period is about to
     /// end.
     #[must_use]
-    pub fn answers_are_due(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.requested) >= self.grace.saturating_sub(ANSWERING_TIME)
+    pub fn answers_due_at(&self) -> Instant {
+        self.requested + self.grace.saturating_sub(ANSWERING_TIME)
     }
 
     /// Returns whether the instance has to exit, with whatever connections are left.
--- a/lib/tests/serving_parts.rs
+++ b/lib/tests/serving_parts.rs
@@ -451,8 +451,8 @@
     let shutdown = Shutdown::new(now, ms(6_000));
     assert!(shutdown.is_in_rotation(now + ms(2_000)));
     assert!(!shutdown.is_in_rotation(now + ms(3_000)));
-    assert!(!shutdown.answers_are_due(now + ms(5_000)));
-    assert!(shutdown.answers_are_due(now + ms(5_700)));
+    assert!(shutdown.answers_due_at() > now + ms(5_000));
+    assert!(shutdown.answers_due_at() < now + ms(5_700));
     assert!(!shutdown.is_over(now + ms(5_700)));
     assert!(!shutdown.is_over(now + ms(5_000)));
     assert!(shutdown.is_over(now + ms(5_999)));
