instance: harmless requests are not blamed for lost links

A mutation without the check that another leaf accepts a connection passed all tests. The new test keeps requests running while the instance loses its links, twice, and fails with that mutation.

--- a/instance/tests/cut_off.rs
+++ b/instance/tests/cut_off.rs
@@ -7,6 +7,7 @@
 
 use camphorhold_testutils::platform::CONFIGURATION_KEY;
 use camphorhold_testutils::platform::configuration;
+use camphorhold_testutils::platform::leaf::Behaviour;
 use camphorhold_testutils::platform::store::Store;
 use camphorhold_testutils::proxy::LinkFault;
 use camphorhold_testutils::proxy::Proxy;
@@ -19,6 +20,8 @@
 
 const LEAF_CALLS: &str = "camphorhold_leaf_calls_total{outcome=\"answered\"}";
 
+const CRASHES: &str = "camphorhold_leaf_crashes_total";
+
 /// The time after which callers of a cut-off instance have to be served again.
 const CONTACT_TIME: Duration = Duration::from_secs(4);
 
@@ -148,3 +151,41 @@
         );
     }
 }
+
+/// Guards against harmless requests that are refused because they were running when the instance
+/// lost its links: its leafs have not ended under them.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_not_blamed_for_the_loss_of_the_links() {
+    let deployment = Deployment::start().await;
+    let leafs = &deployment.platform.leafs;
+    for round in 0..2 {
+        for leaf in leafs {
+            leaf.set_behaviour(Behaviour::Slow(Duration::from_millis(400)));
+        }
+        let request = format!("running-{round}");
+        let is_running = || async {
+            let mut runs = leafs.iter().flat_map(|leaf| leaf.runs());
+            runs.any(|run| run.request == request)
+        };
+        let cut = async {
+            wait_until("the request is running", is_running).await;
+            deployment.set_links(LinkFault::Down);
+        };
+        tokio::join!(deployment.is_answered(&request, "/one/x"), cut);
+        for leaf in leafs {
+            leaf.set_behaviour(Behaviour::Answer);
+        }
+        wait_until("another instance answers", || {
+            deployment.is_answered("relayed", "/all/x")
+        })
+        .await;
+        deployment.set_links(LinkFault::None);
+        wait_until("leafs are reached again", || async {
+            deployment.cut_off.counter("camphorhold_cut_off").await == 0
+        })
+        .await;
+    }
+    assert!(deployment.is_answered("last", "/one/x").await);
+    let crashes = deployment.cut_off.counter(CRASHES).await;
+    assert_eq!(crashes, 0);
+}
