--- a/instance/tests/cut_off.rs
+++ b/instance/tests/cut_off.rs
@@ -8,6 +8,7 @@
 use camphorhold_testutils::platform::CONFIGURATION_KEY;
 use camphorhold_testutils::platform::configuration;
 use camphorhold_testutils::platform::leaf::Behaviour;
+use camphorhold_testutils::platform::leaf::Leaf;
 use camphorhold_testutils::platform::store::Store;
 use camphorhold_testutils::proxy::LinkFault;
 use camphorhold_testutils::proxy::Proxy;
@@ -164,7 +165,7 @@
         }
         let request = format!("running-{round}");
         let is_running = || async {
-            let mut runs = leafs.iter().flat_map(|leaf| leaf.runs());
+            let mut runs = leafs.iter().flat_map(Leaf::runs);
             runs.any(|run| run.request == request)
         };
         let cut = async {
