instance: a leaf that survives a request exonerates it

Cause: callers of the soak send the same requests all the time, as many callers may send a popular one. Two attempts under which leafs had gone within 10 min blocked it, whatever leafs answered in between, and connections that were reset or leafs whose entries were gone counted as ended leafs.

Change: a surviving leaf sets the count back, also at the other instances. Only a refused or unanswered connection shows that a leaf has ended.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -3,7 +3,8 @@
 //! A request without any surviving leaf, under which the connection to a leaf was lost that then
 //! refuses connections, has ended the leaf. The count of such attempts is written to the store, from
 //! which all instances read it. The next attempt has to be survived by one leaf before the others
-//! get it, and if it is not, the request is refused from then on.
+//! get it. If one does, the count starts anew: other callers may send the same request, and leafs end
+//! for other reasons, too. If none does, the request is refused from then on.
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -40,7 +41,7 @@
 /// The count of a request, as stored in JSON.
 #[derive(Deserialize, Serialize)]
 struct Crashes {
-    // The attempts under which leafs have ended.
+    // The attempts under which leafs have ended since a leaf has last survived the request.
     attempts: u32,
 }
 
@@ -51,7 +52,11 @@
         (Ok(fingerprint), Ok(crashes)) => {
             log::info!(fingerprint:% = fingerprint, attempts = crashes.attempts; "leafs have ended under a request");
             let mut poison = shared.poison.borrow_mut();
-            poison.merge(fingerprint, crashes.attempts, EXPIRY, shared.now());
+            if crashes.attempts == 0 {
+                poison.clear(fingerprint);
+            } else {
+                poison.merge(fingerprint, crashes.attempts, EXPIRY, shared.now());
+            }
         }
         (Err(error), _) => {
             log::warn!(fingerprint = fingerprint, error:% = error; "invalid fingerprint in the store ignored");
@@ -112,7 +117,9 @@
             if finished.has_survivor
                 && let Some(fingerprint) = self.canary.take()
             {
-                self.finish_canary(fingerprint, poison::Outcome::Ok);
+                log::info!(request = self.forwarded.id(), fingerprint:% = fingerprint; "a leaf has survived the request; it is no longer suspect");
+                self.shared.poison.borrow_mut().clear(fingerprint);
+                self.write_count(fingerprint);
             }
             return;
         };
@@ -137,10 +144,13 @@
         drop(poison);
         metrics::counter!("camphorhold_leaf_crashes_total").increment(1);
         log::warn!(request = self.forwarded.id(), fingerprint:% = fingerprint, route = &*self.forwarded.route.name, attempts = attempts; "leafs ended under a request");
-        self.shared
-            .unwritten_crashes
-            .borrow_mut()
-            .insert(fingerprint);
+        self.write_count(fingerprint);
+    }
+
+    /// Has the count of a request written to the store.
+    fn write_count(&self, fingerprint: Fingerprint) {
+        let mut unwritten = self.shared.unwritten_crashes.borrow_mut();
+        unwritten.insert(fingerprint);
         self.shared.crash_recorded.notify_one();
     }
 
@@ -165,11 +175,11 @@
         .borrow()
         .sample(&loss.called, MAX_REFERENCES, shared.jitter());
     let lost_leafs = loss.leafs.iter();
-    let (lost_accept, any_reference_accepts) = tokio::join!(
-        join_all(lost_leafs.map(|leaf| probe::accepts_connections(shared, *leaf))),
+    let (responses, any_reference_accepts) = tokio::join!(
+        join_all(lost_leafs.map(|leaf| probe::connect(shared, *leaf))),
         probe::any_accepts_connections(shared, &references)
     );
-    any_reference_accepts && lost_accept.contains(&false)
+    any_reference_accepts && responses.contains(&probe::Response::Down)
 }
 
 /// Writes the counts of requests that have ended leafs to the store, until the process ends.
@@ -201,9 +211,6 @@
     fingerprint: Fingerprint,
 ) -> Result<(), StoreError> {
     let attempts = shared.poison.borrow().crashes(fingerprint);
-    if attempts == 0 {
-        return Ok(());
-    }
     let value = serde_json::to_vec(&Crashes { attempts })?;
     let lease = store.grant(EXPIRY).await?;
     let put = Put {
--- a/instance/src/probe.rs
+++ b/instance/src/probe.rs
@@ -1,5 +1,6 @@
 //! Tests whether leafs accept connections.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,29 +21,41 @@
 /// The pause between two samples, in addition to the time that they take.
 const PAUSE: Duration = Duration::from_millis(250);
 
-/// Returns whether a leaf accepts a connection, which is closed at once. A leaf that is not known
-/// any more accepts none.
-pub async fn accepts_connections(shared: &Shared, leaf: LeafKey) -> bool {
+/// What a leaf does with a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Response {
+    /// It accepts it.
+    Accepted,
+    /// Nothing listens at its address, or nothing answers there.
+    Down,
+    /// The connection failed otherwise, for instance because the leaf has too many, or the leaf is
+    /// not known any more.
+    Unclear,
+}
+
+/// Opens a connection to a leaf and closes it at once.
+pub async fn connect(shared: &Shared, leaf: LeafKey) -> Response {
     let address = shared
         .fleet
         .borrow()
         .get(leaf)
         .map(|leaf| leaf.entry().address);
     let Some(address) = address else {
-        return false;
+        return Response::Unclear;
     };
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    matches!(connecting.await, Ok(Ok(_)))
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Response::Accepted,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Response::Down,
+        Ok(Err(_)) => Response::Unclear,
+        Err(_) => Response::Down,
+    }
 }
 
 /// Returns whether one of the leafs accepts a connection.
 pub async fn any_accepts_connections(shared: &Shared, leafs: &[LeafKey]) -> bool {
-    let mut probes: FuturesUnordered<_> = leafs
-        .iter()
-        .map(|leaf| accepts_connections(shared, *leaf))
-        .collect();
-    while let Some(accepted) = probes.next().await {
-        if accepted {
+    let mut probes: FuturesUnordered<_> = leafs.iter().map(|leaf| connect(shared, *leaf)).collect();
+    while let Some(response) = probes.next().await {
+        if response == Response::Accepted {
             return true;
         }
     }
--- a/instance/tests/poison.rs
+++ b/instance/tests/poison.rs
@@ -111,26 +111,32 @@
     assert_eq!(runs(&platform, "/one/bad"), before);
 }
 
-/// Guards against a harmless request that is refused because leafs ended while they ran it: the
-/// next attempt is answered, and so are those after it.
+/// Guards against a harmless request that is refused because leafs ended while they ran it, even if
+/// that happens again and again: the next attempt is answered, and so are those after it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_harmless_request_is_answered_after_leafs_ended_under_it() {
     let platform = Platform::start(&[("s1", "a"), ("s1", "a"), ("s1", "a")]).await;
-    let instance = Instance::start(&platform, "1", "a").await;
-    for leaf in &platform.leafs {
-        leaf.set_poison(Some("/one/good"));
-    }
-    repeat(std::slice::from_ref(&instance), "/one/good", 1).await;
-    for leaf in &platform.leafs {
-        leaf.set_poison(None);
-    }
-    wait_until("the request is answered", || async {
-        let answer = instance.send("r1", "/one/good").await.unwrap();
-        answer.status() == StatusCode::OK
-    })
-    .await;
-    for attempt in 0..5 {
-        let answer = instance.send(&format!("r{attempt}"), "/one/good").await;
-        assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    let instance = Instance::start(&platform, "4", "a").await;
+    let others = start_instances(&platform).await;
+    for round in 0..3 {
+        for leaf in &platform.leafs {
+            leaf.set_poison(Some("/one/good"));
+        }
+        repeat(std::slice::from_ref(&instance), "/one/good", 1).await;
+        for leaf in &platform.leafs {
+            leaf.set_poison(None);
+        }
+        for instance in others.iter().chain([&instance]) {
+            wait_until("the request is answered", || async {
+                let answer = instance.send("r1", "/one/good").await.unwrap();
+                answer.status() == StatusCode::OK
+            })
+            .await;
+        }
+        for attempt in 0..5 {
+            let id = format!("r{round}-{attempt}");
+            let answer = instance.send(&id, "/one/good").await;
+            assert_eq!(answer.unwrap().status(), StatusCode::OK);
+        }
     }
 }
--- a/lib/src/coordination/poison.rs
+++ b/lib/src/coordination/poison.rs
@@ -176,6 +176,12 @@
         }
     }
 
+    /// Forgets the crashes of a fingerprint: a server has survived it, where a harmful request ends
+    /// every server that runs it.
+    pub fn clear(&mut self, fingerprint: Fingerprint) {
+        self.suspects.remove(&fingerprint);
+    }
+
     /// Counts a crash during a request that was not a canary.
     pub fn crashed(&mut self, fingerprint: Fingerprint, now: Instant) {
         self.good.remove(fingerprint);
