instance: a leaf's error is not the refusal of a relayed request

What callers would have seen: a relayed request that a leaf answered with 409 was relayed again, also one that may run at most once, and ended with 503, which says that it has not run.

Cause: the instance that does not take a relayed request said so by a status that leafs use, too. It says so by a header now, which is removed from what leafs send. Handovers are not affected: no status of a leaf is passed on there. The line for counts that are read from the store says that it was read.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -50,7 +50,7 @@
     let crashes = serde_json::from_slice::<Crashes>(value.unwrap_or_default());
     match (fingerprint.parse::<Fingerprint>(), crashes) {
         (Ok(fingerprint), Ok(crashes)) => {
-            log::info!(fingerprint:% = fingerprint, attempts = crashes.attempts; "leafs have ended under a request");
+            log::info!(fingerprint:% = fingerprint, attempts = crashes.attempts; "count of attempts under which leafs ended read from the store");
             let mut poison = shared.poison.borrow_mut();
             if crashes.attempts == 0 {
                 poison.clear(fingerprint);
@@ -168,7 +168,7 @@
     }
 }
 
-/// Returns whether one of the leafs refuses connections while another leaf accepts them.
+/// Returns whether one of the leafs that were lost is down, while another leaf accepts connections.
 async fn has_ended_leafs(shared: &Shared, loss: &Loss) -> bool {
     let references = shared
         .fleet
--- a/instance/src/relay.rs
+++ b/instance/src/relay.rs
@@ -32,7 +32,8 @@
 use crate::shared::Shared;
 
 /// In a request to another instance: marks it as relayed, with the version of the configuration
-/// that both instances must use.
+/// that both instances must use. In an answer: the instance did not take the request. Answers of
+/// leafs are passed on without it.
 pub const HEADER: HeaderName = HeaderName::from_static("camphorhold-relay");
 
 /// The most instances that are asked for one request.
@@ -87,7 +88,7 @@
         };
         in_flight.end(&result);
         match result {
-            Ok(answer) if answer.status() == StatusCode::CONFLICT => asked.push(name),
+            Ok(answer) if is_refusal(forwarded, &answer) => asked.push(name),
             Ok(answer) => return record("answered", answer::forward(answer)),
             Err(http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_)) => {
                 asked.push(name);
@@ -102,6 +103,23 @@
     record("refused", refuse(RETRY_AFTER))
 }
 
+/// Returns the answer to a relayed request that this instance does not take.
+pub fn refusal() -> Response<Full<Bytes>> {
+    let mut response = empty_response(StatusCode::CONFLICT);
+    let refused = HeaderValue::from_static("refused");
+    response.headers_mut().insert(HEADER, refused);
+    response
+}
+
+/// Returns whether an instance has not taken a request. One of a release without relays says so by
+/// the status only, which may also be that of a leaf.
+fn is_refusal(forwarded: &ForwardedRequest, answer: &Response<Bytes>) -> bool {
+    let by_status = answer.status() == StatusCode::CONFLICT
+        && forwarded.route.semantics == CallSemantics::Idempotent
+        && !answer.headers().contains_key(header::SIGNATURE);
+    by_status || answer.headers().contains_key(HEADER)
+}
+
 fn record(outcome: &'static str, response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
     metrics::counter!("camphorhold_relays_total", "outcome" => outcome).increment(1);
     response
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -175,7 +175,7 @@
         && let Some(accepted) = relay::accept(&shared, &plan, request.headers())
     {
         if !accepted {
-            return empty_response(StatusCode::CONFLICT);
+            return relay::refusal();
         }
         origin.source = Source::Relay;
     }
--- a/instance/tests/cut_off.rs
+++ b/instance/tests/cut_off.rs
@@ -190,3 +190,24 @@
     let crashes = deployment.cut_off.counter(CRASHES).await;
     assert_eq!(crashes, 0);
 }
+
+/// Guards against a request that runs twice because the error of a leaf is taken for the refusal of
+/// the instance to which it was relayed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relayed_request_that_a_leaf_has_failed_is_not_relayed_again() {
+    let deployment = Deployment::start().await;
+    deployment.set_links(LinkFault::Down);
+    wait_until("another instance answers", || {
+        deployment.is_answered("relayed", "/once/x")
+    })
+    .await;
+    for leaf in &deployment.platform.leafs {
+        leaf.set_behaviour(Behaviour::Fail(409));
+    }
+    let answer = deployment.cut_off.send("failed", "/once/x").await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status(), StatusCode::CONFLICT);
+    assert!(answer.headers().contains_key("x-camphorhold-server-stamp"));
+    let runs = deployment.platform.leafs.iter().flat_map(Leaf::runs);
+    assert_eq!(runs.filter(|run| run.request == "failed").count(), 1);
+}
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -36,6 +36,8 @@
     /// It runs each request and never answers. The connection stays open until the caller closes
     /// it.
     Hang,
+    /// It runs the request and answers with this error status.
+    Fail(u16),
     /// It runs the request and closes the connection without an answer.
     Lose,
     /// It runs each request and sends its answer twice in a row.
@@ -405,6 +407,11 @@
             // Waits until the caller closes the connection or sends another request, which is
             // dropped.
             Behaviour::Hang => drop(read_request(&mut stream).await?),
+            Behaviour::Fail(status) => {
+                let head = answer_head(&leaf.id, &id, "Content-Length: 0");
+                let head = head.replacen("200 OK", &format!("{status} Failed"), 1);
+                stream.write_all(head.as_bytes()).await?;
+            }
             Behaviour::Lose => return Ok(()),
             Behaviour::Repeat => stream.write_all(&[&answer[..], &answer].concat()).await?,
             Behaviour::Flood(flood) => return flood.send(&mut stream, &answer).await,
