--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0
+# nothing is disrupted.
+cd "$(dirname "$0")/../.." || exit 2
+[[ -x target/release/camphorhold-instance && -x target/review/standin ]] || exit 2
+RECORD=review/5/record.txt exec target/review/standin limits
--- a/review/standin/flood.rs
+++ b/review/standin/flood.rs
@@ -10,6 +10,7 @@
 use crate::platform::Instance;
 use crate::platform::Leaf;
 use crate::platform::Store;
+use crate::platform::Trouble;
 use crate::traffic;
 use crate::traffic::Clients;
 use crate::traffic::Record;
@@ -158,7 +159,7 @@
     };
     if trouble {
         record.say("the leafs of ledger are in trouble for 9 s");
-        set_trouble(Some(SPOILT_PERCENT));
+        set_trouble(Some((Trouble::Flood, SPOILT_PERCENT)));
     }
     std::thread::sleep(TROUBLE);
     if trouble {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and clients for the cases of this review. Uses the standard library only.
 
+mod crossed;
 mod flood;
 mod http;
 mod json;
@@ -19,11 +20,12 @@
     match arguments.first().map(String::as_str) {
         Some("leaf") => platform::leaf_main(&arguments[1..]),
         Some("limits") => limits::main(),
+        Some("crossed") => crossed::main(),
         Some("flood") => flood::main(),
         Some("stale") => stale::main(),
         Some("poison") => poison::main(),
         _ => {
-            eprintln!("standin leaf|flood|limits|poison|stale ARGUMENT...");
+            eprintln!("standin leaf|crossed|flood|limits|poison|stale ARGUMENT...");
             cannot_run();
         }
     }
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -464,11 +464,12 @@
         self.run();
     }
 
-    /// Makes it fail that many of a hundred requests; `None` ends the trouble.
-    pub fn set_trouble(&self, percent: Option<u32>) {
+    /// Brings it into trouble with that many of a hundred requests; `None` ends the trouble.
+    pub fn set_trouble(&self, trouble: Option<(Trouble, u32)>) {
         let path = trouble_file(&self.log);
-        let result = match percent {
-            Some(percent) => std::fs::write(path, percent.to_string()),
+        let result = match trouble {
+            Some((Trouble::Flood, percent)) => std::fs::write(path, format!("flood {percent}")),
+            Some((Trouble::Repeat, percent)) => std::fs::write(path, format!("repeat {percent}")),
             None => std::fs::remove_file(path),
         };
         result.expect("the state of the leaf changes");
@@ -537,16 +538,45 @@
     log.with_extension("trouble")
 }
 
-/// Returns whether a leaf in trouble fails this request. The file holds how many in a hundred fail.
-fn is_spoilt(trouble: &Path, attempt: &str) -> bool {
-    let percent = std::fs::read_to_string(trouble)
-        .ok()
-        .and_then(|text| text.parse().ok());
+/// What a leaf in trouble does to some of its requests.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// It sends interim heads without end.
+    Flood,
+    /// It sends the answer again, a little later and without the id of the request.
+    Repeat,
+}
+
+/// Returns what a leaf in trouble does to this request. The file holds the kind of trouble and how many
+/// in a hundred requests it affects.
+fn trouble_of(file: &Path, attempt: &str) -> Option<Trouble> {
+    let text = std::fs::read_to_string(file).ok()?;
+    let (kind, percent) = text.split_once(' ')?;
+    let percent: u32 = percent.parse().ok()?;
     let hash = attempt.bytes().fold(7_u32, |hash, byte| {
         hash.wrapping_mul(31).wrapping_add(byte.into())
     });
-    percent
-        .is_some_and(|percent: u32| hash.wrapping_mul(2_654_435_761) >> 16 & 0xffff < percent * 655)
+    let is_affected = (hash.wrapping_mul(2_654_435_761) >> 16) & 0xffff < percent * 655;
+    let trouble = if kind == "flood" {
+        Trouble::Flood
+    } else {
+        Trouble::Repeat
+    };
+    is_affected.then_some(trouble)
+}
+
+/// Sends an answer once more, without the id of its request, a little later.
+fn send_late(stream: &TcpStream, id: &str, attempt: &str) {
+    let bytes = format!(
+        "HTTP/1.1 200 OK\r\nX-Camphorhold-Server-Stamp: {id}.{attempt}\r\nContent-Length: 16\r\n\r\n\
+         0123456789abcdef"
+    );
+    if let Ok(mut stream) = stream.try_clone() {
+        std::thread::spawn(move || {
+            std::thread::sleep(LATE);
+            let _ = stream.write_all(bytes.as_bytes());
+        });
+    }
 }
 
 /// Sends interim heads, which are no answer, without end until the caller closes.
@@ -555,7 +585,7 @@
     while stream.write_all(&heads).is_ok() {}
 }
 
-fn serve_leaf(mut stream: TcpStream, id: &str, work: Duration, log: &File, trouble: &Path) {
+fn serve_leaf(mut stream: TcpStream, id: &str, work: Duration, log: &File, trouble_file: &Path) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     while let Ok(Some(request)) = http::read_request(&mut stream, &mut buffer) {
@@ -569,10 +599,14 @@
         } else {
             let line = format!("run {attempt} {} {}\n", request.method, request.target);
             let _ = (&mut &*log).write_all(line.as_bytes());
-            if is_spoilt(trouble, attempt) {
+            let trouble = trouble_of(trouble_file, attempt);
+            if trouble == Some(Trouble::Flood) {
                 return flood(&mut stream);
             }
             std::thread::sleep(work);
+            if trouble == Some(Trouble::Repeat) {
+                send_late(&stream, id, attempt);
+            }
             format!(
                 "HTTP/1.1 200 OK\r\nX-Camphorhold-Request-Id: {attempt}\r\n\
                  X-Camphorhold-Server-Stamp: {id}.{attempt}\r\nContent-Length: 16\r\n\r\n\
@@ -585,6 +619,9 @@
     }
 }
 
+/// How long after an answer a faulty leaf sends it again.
+const LATE: Duration = Duration::from_millis(30);
+
 /// An instance, started with the command of the deploy file at a loopback address of its own.
 pub struct Instance {
     pub name: String,
--- a/review/standin/traffic.rs
+++ b/review/standin/traffic.rs
@@ -69,6 +69,7 @@
     // How long the client waited for what it got, or until it gave up.
     pub took: Duration,
     pub answered: bool,
+    pub stamp: String,
 }
 
 /// Clients of one instance. Each request is open for as long as its time limit, whatever the others
@@ -117,6 +118,12 @@
                     let (_, served, text) = describe(&outcome);
                     let took = at.elapsed();
                     let answered = matches!(outcome, Outcome::Answer(_));
+                    let stamp = match &outcome {
+                        Outcome::Answer(answer) => {
+                            answer.header("x-camphorhold-server-stamp").to_owned()
+                        }
+                        _ => String::new(),
+                    };
                     record.line(&format!(
                         "request {id} to {address}: {text} after {} ms",
                         took.as_millis()
@@ -127,6 +134,7 @@
                         served,
                         took,
                         answered,
+                        stamp,
                     });
                     counted.fetch_sub(1, Ordering::Relaxed);
                 });
