--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -440,17 +440,15 @@
 
     fn run(&mut self) {
         let program = std::env::current_exe().expect("the path of this program");
-        let child = Command::new(program)
-            .args([
-                "leaf",
-                &self.id,
-                &self.address.to_string(),
-                &self.work_ms.to_string(),
-            ])
-            .arg(&self.log)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the leaf starts");
+        let mut command = Command::new(program);
+        let arguments = [
+            "leaf",
+            &self.id,
+            &self.address.to_string(),
+            &self.work_ms.to_string(),
+        ];
+        command.args(arguments).arg(&self.log).stdout(Stdio::null());
+        let child = crate::start(&mut command);
         self.child = Some(child);
         http::wait_until("a leaf listens", || {
             TcpStream::connect(self.address).is_ok()
@@ -476,9 +474,8 @@
     }
 
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if let Some(child) = self.child.take() {
+            crate::end(child);
         }
     }
 
@@ -668,12 +665,12 @@
             .append(true)
             .open(&self.log)
             .expect("a log file");
-        let child = Command::new("target/release/camphorhold-instance")
+        let mut command = Command::new("target/release/camphorhold-instance");
+        command
             .args(["--metrics-port", "7390"])
             .env("CAMPHORHOLD_CONFIG", &self.settings)
-            .stdout(log)
-            .spawn()
-            .expect("the instance starts");
+            .stdout(log);
+        let child = crate::start(&mut command);
         self.child = Some(child);
     }
 
@@ -698,9 +695,8 @@
     }
 
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if let Some(child) = self.child.take() {
+            crate::end(child);
         }
     }
 
