instance: find a lost watch without the registration, however old cheap reads are

Cause: a lost watch is found by probes beside it, which read the instance's own registration. After an outage in which leases ran out the item is missing, and a probe without an item showed no revision. Second, the probe is a read that may be seconds old, and two in a row had to show a newer revision.

Ruled out: a late application of the configuration (the other instances have it at once), and probes that are not sent.

Change: probes list a prefix without keys, whose answer always shows the store's revision. lib/src/coordination/serving/watch.rs decides: a watch counts as lost an eighth of the settling time after a probe has shown a newer revision; cheap reads that are seen to be too old are replaced by current ones for 5 min.

Why it works: the revision no longer depends on an item, and the age of the reads is bounded by what was observed and the pause between two probes, so that age, pause and transit fit into the settling time.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use camphorhold_platform::key;
+use camphorhold::coordination::serving::watch;
+use camphorhold::coordination::serving::watch::Read;
 use camphorhold_platform::store::Changes;
 use camphorhold_platform::store::Era;
 use camphorhold_platform::store::Store;
@@ -18,12 +19,6 @@
 /// How long one watch waits for changes. The store permits up to 30 s, and bills each return.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 
-/// The pause between two probes of the store while a watch waits, as a share of the settling time.
-/// The store may stop answering an instance without closing its connections. A watch sent in that
-/// state is lost, and has to be sent again before the settling time ends. The rest of the settling
-/// time covers the timeout of a probe and the new watch.
-const PROBE_SHARE: f64 = 0.375;
-
 /// The pause after changes before the next watch, as a share of the change time. A burst of changes
 /// is then read with few calls; the store bills each of them.
 const BATCH_SHARE: f64 = 0.3;
@@ -43,8 +38,7 @@
     store: Store,
     // A second client for probes: the connection of the first is busy during a watch.
     probes: Store,
-    // The key that probes read: the registration of this instance, which exists while it runs.
-    probe_key: String,
+    monitor: watch::Monitor,
     // Outlives the follower: the fleet holds what was applied to it.
     mirror: Rc<RefCell<Mirror>>,
     failing_since: Option<Instant>,
@@ -55,13 +49,12 @@
     pub fn new(shared: Rc<Shared>, mirror: Rc<RefCell<Mirror>>) -> Self {
         let store = Store::in_era(shared.settings.store_address, mirror.borrow().era());
         let probes = store.sibling();
-        let probe_key = key::instance(&shared.settings.name);
         Self {
             shared,
             mirror,
             store,
             probes,
-            probe_key,
+            monitor: watch::Monitor::default(),
             failing_since: None,
         }
     }
@@ -106,7 +99,7 @@
         loop {
             tokio::time::sleep(*pause).await;
             *pause = (*pause * 2).min(LONGEST_PAUSE);
-            let era = match self.probes.probe(&self.probe_key).await {
+            let era = match self.probes.probe(Read::Cheap).await {
                 Ok(_) => None,
                 Err(StoreError::Restored(era)) => Some(era),
                 Err(error) => {
@@ -154,18 +147,20 @@
     async fn read_all(&mut self) -> Result<u64, StoreError> {
         let listing = self.store.list("").await?;
         self.on_success();
+        self.monitor
+            .on_changes_read(listing.revision, self.shared.now());
         self.mirror
             .borrow_mut()
             .apply_listing(&listing, self.store.era());
         Ok(listing.revision)
     }
 
-    /// Waits for changes after `revision`. Meanwhile probes the store, and fails if a probe fails
-    /// or if two successive probes show a newer revision that the watch has not returned.
+    /// Waits for changes after `revision`. Meanwhile probes the store, and fails if a probe fails or
+    /// shows changes that the watch does not return.
     async fn watch(&mut self, revision: u64) -> Result<Changes, StoreError> {
         let watch = self.store.watch(revision, WATCH_TIMEOUT);
         tokio::pin!(watch);
-        let mut watch_is_behind = false;
+        self.monitor.on_watch_sent();
         // The first probe is sent together with the watch: a fault that loses the watch also loses
         // the probe.
         let mut probe_at = self.shared.now();
@@ -177,26 +172,36 @@
                     None => std::future::pending().await,
                 }
             };
+            let overdue = self.monitor.overdue();
+            let lost = async {
+                match overdue {
+                    Some(overdue) => {
+                        tokio::time::sleep_until(overdue.lost_at.into()).await;
+                        overdue.revision
+                    }
+                    None => std::future::pending().await,
+                }
+            };
+            let settling_time = self.shared.bounds.get().settling_time;
+            let read = self.monitor.next_read(settling_time, self.shared.now());
             let probe = async {
                 tokio::time::sleep_until(probe_at.into()).await;
-                self.probes.probe(&self.probe_key).await
+                let sent = self.shared.now();
+                (sent, self.probes.probe(read).await)
             };
             tokio::select! {
                 biased;
                 changes = &mut watch => return changes,
                 () = timer => self.mirror.borrow_mut().on_timer(),
-                probed = probe => {
-                    let probed = probed?;
-                    self.shared.last_store_answer.set(self.shared.now());
-                    // The answer of the watch may still be in transit, but must arrive before the
-                    // next probe.
-                    let newer = probed.filter(|probed| *probed > revision);
-                    if let Some(probed) = newer && watch_is_behind {
-                        return Err(StoreError::MissedChanges(probed));
+                missed = lost => return Err(StoreError::MissedChanges(missed)),
+                (sent, shown) = probe => {
+                    let now = self.shared.now();
+                    if let Some(revision) = shown? {
+                        let probe = watch::Probe { read, revision, sent };
+                        record_probe(&mut self.monitor, probe, settling_time, now);
                     }
-                    watch_is_behind = newer.is_some();
-                    let settling_time = self.shared.bounds.get().settling_time;
-                    probe_at = self.shared.now() + settling_time.mul_f64(PROBE_SHARE);
+                    self.shared.last_store_answer.set(now);
+                    probe_at = now + self.monitor.pause(settling_time, now);
                 }
             }
         }
@@ -205,6 +210,8 @@
     async fn read_changes(&mut self, revision: u64) -> Result<u64, StoreError> {
         let changes = self.watch(revision).await?;
         self.on_success();
+        self.monitor
+            .on_changes_read(changes.revision, self.shared.now());
         let has_events = !changes.events.is_empty();
         log::info!(after = revision, events = changes.events.len(), revision = changes.revision, era:? = self.store.era(); "changes read from the store");
         self.mirror.borrow_mut().apply_changes(&changes);
@@ -215,3 +222,19 @@
         Ok(changes.revision)
     }
 }
+
+fn record_probe(
+    monitor: &mut watch::Monitor,
+    probe: watch::Probe,
+    settling_time: Duration,
+    now: Instant,
+) {
+    let read = monitor.next_read(settling_time, now);
+    monitor.on_probe(probe, settling_time, now);
+    let age = monitor.cheap_read_age(now);
+    metrics::gauge!("camphorhold_store_read_age_seconds").set(age.as_secs_f64());
+    if monitor.next_read(settling_time, now) != read {
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        log::warn!(age_ms = age_ms; "cheap reads of the store are too old to reveal a lost watch; probing with current reads");
+    }
+}
--- a/instance/tests/process.rs
+++ b/instance/tests/process.rs
@@ -290,6 +290,65 @@
     tokio::time::timeout(settling_time, in_force).await.unwrap();
 }
 
+/// Guards against a lost watch that is not noticed because the instance has no registration: its
+/// lease ran out while the store was down.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_are_found_in_time_without_a_registration() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let registrations = || platform.store.count("camphorhold/instances/");
+    wait_until("the instance is registered", || async {
+        registrations() == 1
+    })
+    .await;
+    platform.store.refuse_leases();
+    platform.store.end_leases();
+    assert_changes_after_a_silence_are_found_in_time(&platform, &instance).await;
+    assert_eq!(registrations(), 0);
+}
+
+/// Guards against a lost watch that is noticed too late because the cheap reads by which it is
+/// found are seconds old.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_are_found_in_time_while_cheap_reads_are_old() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    platform.store.set_read_age(Duration::from_secs(3));
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.configure(3, &["s1", "s2"]);
+    wait_until("the age of cheap reads is known", || async {
+        let age = instance.gauge("camphorhold_store_read_age_seconds").await;
+        age > 0.1
+    })
+    .await;
+    assert_changes_after_a_silence_are_found_in_time(&platform, &instance).await;
+}
+
+/// Loses the watch of an instance in a silence of the store, in which the configuration changes.
+async fn assert_changes_after_a_silence_are_found_in_time(
+    platform: &Platform,
+    instance: &Instance,
+) {
+    let calls = platform.store.calls();
+    wait_until("a probe has been answered since", || async {
+        platform.store.calls() > calls
+    })
+    .await;
+    platform.store.set_fault(Fault::LoseWatches);
+    platform.configure(5, &["s1", "s2"]);
+    wait_until("the watch after the change is lost", || async {
+        platform.store.lost_watches() > 0
+    })
+    .await;
+    platform.configure(7, &["s2", "s1"]);
+    platform.store.set_fault(Fault::None);
+    let in_force = wait_until("the change is in force", || async {
+        let answer = instance.send("r", "/one/x").await.unwrap();
+        header(&answer, "x-camphorhold-server-stamp").starts_with("i-2")
+    });
+    let settling_time = Duration::from_secs(4);
+    tokio::time::timeout(settling_time, in_force).await.unwrap();
+}
+
 /// Guards against an instance that falls behind the store during many changes, such as a change of
 /// the sharding. Each answer of the store holds only a part of them, and a pause after each answer
 /// delayed the later ones beyond the time to apply a change.
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -35,7 +35,7 @@
 /// The pause between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-const TCP_OPTIONS: TcpOptions = TcpOptions {
+pub const TCP_OPTIONS: TcpOptions = TcpOptions {
     connect_timeout: Duration::from_secs(5),
     user_timeout: Duration::from_secs(5),
     keepalive_interval: None,
@@ -201,6 +201,17 @@
 
     /// Returns the value of a counter, given as its name with labels, or 0 while it does not exist.
     pub async fn counter(&self, name: &str) -> u64 {
+        let value = self.metric(name).await;
+        value.map_or(0, |value| value.parse().unwrap())
+    }
+
+    /// Returns the value of a gauge, or 0 while it does not exist.
+    pub async fn gauge(&self, name: &str) -> f64 {
+        let value = self.metric(name).await;
+        value.map_or(0.0, |value| value.parse().unwrap())
+    }
+
+    async fn metric(&self, name: &str) -> Option<String> {
         let mut connection = Connection::open(self.process.metrics_address(), TCP_OPTIONS)
             .await
             .unwrap();
@@ -208,7 +219,7 @@
         let answer = connection.exchange(request, 1 << 20).await.unwrap();
         let text = String::from_utf8_lossy(answer.body()).into_owned();
         let line = text.lines().find_map(|line| line.strip_prefix(name));
-        line.map_or(0, |value| value.trim().parse().unwrap())
+        line.map(|value| value.trim().to_owned())
     }
 
     /// Changes the retry budget in the settings file, without a signal to the process.
@@ -306,7 +317,7 @@
         .unwrap()
 }
 
-async fn is_ready(address: SocketAddr) -> bool {
+pub async fn is_ready(address: SocketAddr) -> bool {
     let Ok(mut connection) = Connection::open(address, TCP_OPTIONS).await else {
         return false;
     };
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -14,6 +14,7 @@
 pub mod retry_budget;
 pub mod shutdown;
 pub mod split;
+pub mod watch;
 
 pub use self::concurrency_limit::ConcurrencyLimits;
 pub use self::fanout::Fanout;
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -1,7 +1,8 @@
 //! The platform's store: items with revisions, ranges in pages, watches, conditional changes.
-//! Leases are granted but never expire.
+//! Leases end only when a test ends them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -37,6 +39,9 @@
 /// The largest number of items on one page of a range, small so that tests read several pages.
 const MAX_PAGE_ITEMS: usize = 5;
 
+/// The lifetime of all leases, as the store states it.
+const LEASE_MS: u64 = 60_000;
+
 /// The largest number of changes in one answer to a watch.
 const MAX_WATCH_CHANGES: usize = 250;
 
@@ -61,6 +66,8 @@
     value: Vec<u8>,
     revision: u64,
     created: u64,
+    // 0: none.
+    lease: u64,
 }
 
 /// What the store held at some moment, to be restored later.
@@ -82,22 +89,43 @@
     compacted: u64,
     fault: Fault,
     calls: u64,
+    lost_watches: u64,
+    leases: BTreeSet<u64>,
+    refuses_leases: bool,
+    // How old the reads are that may be old, and when each revision was reached.
+    read_age: Duration,
+    reached: Vec<(Instant, u64)>,
 }
 
 impl State {
+    /// Returns the revision that a read shows which may be old.
+    fn earlier_revision(&self, now: Instant) -> u64 {
+        let reached = self.reached.iter().rev();
+        reached
+            .map(|(at, revision)| (now.saturating_duration_since(*at), *revision))
+            .find(|(age, _)| *age >= self.read_age)
+            .map_or(0, |(_, revision)| revision)
+    }
+
     fn change(&mut self, key: &str, value: Option<Vec<u8>>) {
+        self.change_with_lease(key, value, 0);
+    }
+
+    fn change_with_lease(&mut self, key: &str, value: Option<Vec<u8>>, lease: u64) {
         self.revision += 1;
         let revision = self.revision;
         let item = value.map(|value| Item {
             value,
             revision,
             created: self.items.get(key).map_or(revision, |item| item.created),
+            lease,
         });
         match &item {
             Some(item) => self.items.insert(key.into(), item.clone()),
             None => self.items.remove(key),
         };
         self.history.push((revision, key.into(), item));
+        self.reached.push((Instant::now(), revision));
     }
 }
 
@@ -163,6 +191,33 @@
         self.shared.lock().fault = fault;
     }
 
+    /// Ends all leases and removes the items that were written with one.
+    pub fn end_leases(&self) {
+        let mut state = self.shared.lock();
+        state.leases.clear();
+        let leased: Vec<String> = state
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease != 0)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in leased {
+            state.change(&key, None);
+        }
+        let changed = (state.era, state.revision);
+        self.shared.changed.send_replace(changed);
+    }
+
+    /// Refuses calls for new leases with 503 from now on.
+    pub fn refuse_leases(&self) {
+        self.shared.lock().refuses_leases = true;
+    }
+
+    /// Sets how old the revision is that listings show which may be old.
+    pub fn set_read_age(&self, age: Duration) {
+        self.shared.lock().read_age = age;
+    }
+
     /// Removes the history: a watch after an earlier revision is answered with 410.
     pub fn compact(&self) {
         let mut state = self.shared.lock();
@@ -187,6 +242,8 @@
         state.era += 1;
         state.revision = copy.revision;
         state.items = copy.items;
+        state.leases.clear();
+        state.reached.push((Instant::now(), copy.revision));
         state
             .history
             .retain(|(revision, _, _)| *revision <= copy.revision);
@@ -212,6 +269,12 @@
         self.shared.lock().calls
     }
 
+    /// Returns the number of watches that [`Fault::LoseWatches`] has left without an answer.
+    #[must_use]
+    pub fn lost_watches(&self) -> u64 {
+        self.shared.lock().lost_watches
+    }
+
     /// Returns the number of items whose key starts with a prefix.
     #[must_use]
     pub fn count(&self, prefix: &str) -> usize {
@@ -276,13 +339,21 @@
         (Method::GET, "/api/kv-range") => (StatusCode::OK, range(&shared.lock(), &query)),
         (Method::GET, "/api/kv-watch") => {
             if fault == Fault::LoseWatches {
+                shared.lock().lost_watches += 1;
                 std::future::pending::<()>().await;
             }
             watch(&shared, &query).await
         }
         (Method::POST, "/api/kv-txn") => change(&shared, &body),
-        (Method::POST, "/api/kv-lease") => (StatusCode::OK, json!({"lease": 1, "ttl_ms": 60_000})),
-        (Method::POST, path) if path.starts_with("/api/kv-keep/") => (StatusCode::OK, json!({})),
+        (Method::POST, "/api/kv-lease") => grant(&mut shared.lock()),
+        (Method::POST, path) if path.starts_with("/api/kv-keep/") => {
+            let lease = path["/api/kv-keep/".len()..].parse().unwrap_or(0);
+            if shared.lock().leases.contains(&lease) {
+                (StatusCode::OK, json!({"ttl_ms": LEASE_MS}))
+            } else {
+                (StatusCode::NOT_FOUND, json!({}))
+            }
+        }
         _ => (StatusCode::NOT_FOUND, json!({})),
     };
     let mut response = respond(status, &value);
@@ -326,7 +397,7 @@
         "value": STANDARD.encode(&item.value),
         "revision": item.revision,
         "created": item.created,
-        "lease": 0,
+        "lease": item.lease,
     })
 }
 
@@ -352,7 +423,11 @@
         .map(|(key, item)| encode(key, item))
         .collect();
     let has_more = items.next().is_some();
-    json!({"items": page, "has_more": has_more, "store_revision": state.revision})
+    let revision = match query.text("stale_ok") {
+        "1" => state.earlier_revision(Instant::now()),
+        _ => state.revision,
+    };
+    json!({"items": page, "has_more": has_more, "store_revision": revision})
 }
 
 async fn watch(shared: &Shared, query: &Query) -> (StatusCode, Value) {
@@ -388,6 +463,15 @@
     (StatusCode::OK, value)
 }
 
+fn grant(state: &mut State) -> (StatusCode, Value) {
+    if state.refuses_leases {
+        return (StatusCode::SERVICE_UNAVAILABLE, json!({}));
+    }
+    let lease = state.calls;
+    state.leases.insert(lease);
+    (StatusCode::OK, json!({"lease": lease, "ttl_ms": LEASE_MS}))
+}
+
 fn change(shared: &Shared, body: &[u8]) -> (StatusCode, Value) {
     let Ok(change) = serde_json::from_slice::<Value>(body) else {
         return (StatusCode::BAD_REQUEST, json!({}));
@@ -402,13 +486,22 @@
     if !revisions_match {
         return (StatusCode::PRECONDITION_FAILED, json!({"items": []}));
     }
+    let leases: Vec<u64> = rows("puts")
+        .iter()
+        .filter_map(|put| put["lease"].as_u64())
+        .filter(|lease| *lease != 0)
+        .collect();
+    if leases.iter().any(|lease| !state.leases.contains(lease)) {
+        return (StatusCode::NOT_FOUND, json!({}));
+    }
     for put in rows("puts") {
         let key = put["key"].as_str().unwrap_or_default();
         let value = put["value"].as_str().unwrap_or_default();
         let Ok(value) = STANDARD.decode(value) else {
             return (StatusCode::BAD_REQUEST, json!({}));
         };
-        state.change(key, Some(value));
+        let lease = put["lease"].as_u64().unwrap_or(0);
+        state.change_with_lease(key, Some(value), lease);
     }
     shared.changed.send_replace((state.era, state.revision));
     (StatusCode::OK, json!({"revision": state.revision}))
