instance: register again when the registration is gone

What callers saw: nothing at once. An instance whose lease had run out while the store was down stayed unregistered until its next renewal, up to 2 minutes. The others stop counting it after one, and divide connections, cold rates and retry budgets by fewer instances. Found while looking for the cause of the lost watch on related paths.

Cause: only a renewal or a restore of the store told the registration that it was gone. The watch reports the removal, but the mirror did not pass it on.

Change: the removal of the own registration wakes its task, which registers again within a second, spread at random as all instances may have lost theirs.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -118,7 +118,7 @@
     /// gone, too.
     fn on_restored(&mut self, era: Era) {
         self.mirror.borrow_mut().on_restored(era);
-        self.shared.store_restored.notify_one();
+        self.shared.registration_lost.notify_one();
     }
 
     fn on_failure(&mut self, error: &StoreError) {
--- a/instance/src/mirror.rs
+++ b/instance/src/mirror.rs
@@ -246,7 +246,12 @@
                 log::info!(leaf = id, kept = keep_until.is_some(); "leaf entry removed");
             }
             Key::Evacuation(domain) => self.on_evacuation(domain, false),
-            Key::Instance(name) => self.shared.instances.borrow_mut().remove(name, now),
+            Key::Instance(name) => {
+                self.shared.instances.borrow_mut().remove(name, now);
+                if name == &*self.shared.settings.name {
+                    self.shared.registration_lost.notify_one();
+                }
+            }
             Key::RolloutSpec(service) => {
                 log::info!(service = service; "rollout withdrawn; its version is no longer excluded from traffic");
                 self.shared
--- a/instance/src/registration.rs
+++ b/instance/src/registration.rs
@@ -24,6 +24,9 @@
 /// Renewals per lifetime of a registration, at equal intervals.
 const RENEWALS_PER_LIFETIME: u32 = 5;
 
+/// The longest pause before an instance registers again that has lost its registration.
+const LONGEST_SPREAD: Duration = Duration::from_secs(1);
+
 /// Pause before a failed call to the store is repeated.
 const RETRY_PAUSE: Duration = Duration::from_secs(2);
 
@@ -50,7 +53,8 @@
 }
 
 /// Registers the instance and renews the registration, until the process ends. Registers again if
-/// the lease expires, and after a restore of the store, which loses registrations and leases.
+/// the lease expires, and when the registration is gone, for instance with a lease that ran out while
+/// the store was down, or after a restore of the store.
 pub async fn run(shared: Rc<Shared>) {
     let mut store = Store::new(shared.settings.store_address);
     let key = key::instance(&shared.settings.name);
@@ -62,9 +66,11 @@
                     () = renew(&mut store, lease) => {
                         log::warn!(key = key; "lease of the registration expired; registering again");
                     }
-                    () = shared.store_restored.notified() => {
-                        log::info!(key = key; "the store was restored from a copy; registering again");
+                    () = shared.registration_lost.notified() => {
+                        log::warn!(key = key; "the registration is gone; registering again");
                         store = Store::new(shared.settings.store_address);
+                        // All instances may have lost theirs at the same moment.
+                        tokio::time::sleep(LONGEST_SPREAD.mul_f32(shared.jitter())).await;
                     }
                 }
             }
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -123,8 +123,9 @@
     pub peer_pool: Pool<SocketAddr>,
     /// When the store last answered; the start of the process before its first answer.
     pub last_store_answer: Cell<Instant>,
-    /// Wakes the registration of the instance when the store was restored from a copy.
-    pub store_restored: Notify,
+    /// Wakes the registration of the instance when it is no longer in the store, or may not be
+    /// because the store was restored from a copy.
+    pub registration_lost: Notify,
     /// The phase of the instance. Only moves forward.
     pub phase: Cell<Phase>,
     /// When requests in progress have to be answered, once the instance is stopping.
@@ -175,7 +176,7 @@
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
             last_store_answer: Cell::new(now),
-            store_restored: Notify::new(),
+            registration_lost: Notify::new(),
             phase: Cell::new(Phase::Starting),
             answers_due_at: Cell::new(None),
             answers_due: Notify::new(),
--- a/instance/tests/process.rs
+++ b/instance/tests/process.rs
@@ -349,6 +349,22 @@
     tokio::time::timeout(settling_time, in_force).await.unwrap();
 }
 
+/// Guards against an instance that stays unregistered until its next renewal, minutes after its
+/// lease ran out while the store was down: the others divide the limits by fewer instances.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_registers_again_after_its_lease_ended() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let _instance = Instance::start(&platform, "1", "a").await;
+    let is_registered = || async { platform.store.count("camphorhold/instances/") == 1 };
+    wait_until("the instance is registered", is_registered).await;
+    platform.store.end_leases();
+    let registered = wait_until("the instance is registered again", is_registered);
+    let settling_time = Duration::from_secs(4);
+    tokio::time::timeout(settling_time, registered)
+        .await
+        .unwrap();
+}
+
 /// Guards against an instance that falls behind the store during many changes, such as a change of
 /// the sharding. Each answer of the store holds only a part of them, and a pause after each answer
 /// delayed the later ones beyond the time to apply a change.
