instance: bound heads of requests by the configuration in force

Callers do not repeat a request after 431.

Cause: the limit was read once per connection and given to the HTTP library as the size of its buffer, which cannot change.

Ruled out: a late configuration (new connections were served at once).

Change: the stream below the library bounds the head while it reads it, by the configuration in force. A head beyond the limit is ended there, so that the instance answers 431 itself, with a log line and a counter. What the caller still sends is dropped for up to 1 s or 1 MiB, so that a reset does not take the answer from the caller.

Related paths: connections accepted before the first configuration kept the default limit; requests of other instances were bounded by the callers' limit of the receiver, although the sender had accepted them and adds headers.

--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -28,8 +29,10 @@
 use hyper_util::rt::TokioIo;
 use slab::Slab;
 use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
+use tokio::io::Take;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -45,15 +48,28 @@
 /// The most connections that wait to be accepted, per listener.
 const BACKLOG: u32 = 1_024;
 
-/// The smallest read buffer that the HTTP library accepts.
-const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// The most bytes that are read at a time, and so the size of read buffers.
+const MAX_READ_BYTES: usize = 16 << 10;
 
-/// Room in the read buffer beside the head of a request, for the start of the body.
-const BUFFER_SLACK_BYTES: usize = 1 << 10;
+/// How much longer than the limit the head of a request may be, so that the limit may be taken as
+/// that of its header lines alone.
+const HEAD_SLACK_BYTES: usize = 1 << 10;
 
 /// The limit for the head of a request while there is no configuration.
 const DEFAULT_HEADER_BYTES: usize = 16 << 10;
 
+/// The limit for the head of a request from another instance, which has checked the request against
+/// its own configuration and has added headers.
+const PEER_HEADER_BYTES: usize = 256 << 10;
+
+/// How much of a refused request is read after the answer, and for how long. A connection that is
+/// closed with unread bytes is reset, and the caller may lose the answer.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// Ends the head of a request that is longer than permitted, so that it can be answered.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 /// The longest time that the head of a request may take while there is no configuration.
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The longest time that a connection may stay idle while there is no configuration.
@@ -71,9 +87,41 @@
     idle_since: Cell<Instant>,
     // When the first byte of the next request arrived; `None` while idle or busy.
     head_since: Cell<Option<Instant>>,
+    // The bytes read since the last response was ready.
+    head_bytes: Cell<usize>,
+    // Whether the head of the request is longer than permitted. What follows is discarded.
+    head_too_long: Cell<bool>,
+    refused: Notify,
     close: Notify,
 }
 
+impl Activity {
+    fn new(now: Instant) -> Self {
+        Self {
+            busy: Cell::new(false),
+            idle_since: Cell::new(now),
+            head_since: Cell::new(None),
+            head_bytes: Cell::new(0),
+            head_too_long: Cell::new(false),
+            refused: Notify::new(),
+            close: Notify::new(),
+        }
+    }
+
+    /// Records that the head of a request has been read. Returns when its first byte arrived.
+    fn begin(&self, now: Instant) -> Instant {
+        self.busy.set(true);
+        self.head_since.take().unwrap_or(now)
+    }
+
+    /// Records that the response is ready.
+    fn end(&self, now: Instant) {
+        self.idle_since.set(now);
+        self.head_bytes.set(0);
+        self.busy.set(false);
+    }
+}
+
 /// The open connections of callers and of other instances.
 #[derive(Debug, Default)]
 pub struct Connections {
@@ -134,11 +182,47 @@
     }
 }
 
-/// A stream that records when the first byte of a request arrives.
+/// A stream that records when the first byte of a request arrives, and ends heads of requests that
+/// are longer than the configuration in force permits.
 struct ActivityStream {
-    stream: TcpStream,
+    stream: Take<TcpStream>,
     shared: Rc<Shared>,
     activity: Rc<Activity>,
+    source: Source,
+    discarded: usize,
+}
+
+impl ActivityStream {
+    /// Reads and drops what the caller sends, until it closes the connection or has sent enough.
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; 4 << 10];
+        while self.discarded < MAX_DISCARDED_BYTES {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let stream = Pin::new(self.stream.get_mut());
+            match ready!(stream.poll_read(context, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => self.discarded += buffer.filled().len(),
+                _ => break,
+            }
+        }
+        Poll::Ready(())
+    }
+
+    /// Returns the most bytes that may be read now, 0 if the head of the request is too long.
+    fn allowance(&self) -> usize {
+        if self.activity.head_too_long.get() {
+            0
+        } else if self.activity.busy.get() {
+            MAX_READ_BYTES
+        } else {
+            let limit = match (self.source, &*self.shared.plan.borrow()) {
+                (Source::Instance | Source::Relay, _) => PEER_HEADER_BYTES,
+                (Source::Caller, Some(plan)) => plan.limits().header_bytes,
+                (Source::Caller, None) => DEFAULT_HEADER_BYTES,
+            };
+            let rest = (limit + HEAD_SLACK_BYTES).saturating_sub(self.activity.head_bytes.get());
+            rest.min(MAX_READ_BYTES)
+        }
+    }
 }
 
 impl AsyncRead for ActivityStream {
@@ -147,11 +231,28 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let allowance = self.allowance();
+        if allowance == 0 {
+            if self.activity.head_too_long.replace(true) || buffer.remaining() < HEAD_END.len() {
+                // An end of the stream would end the connection before the answer.
+                return Poll::Pending;
+            }
+            self.activity.refused.notify_one();
+            buffer.put_slice(HEAD_END);
+            return Poll::Ready(Ok(()));
+        }
+        self.stream.set_limit(allowance as u64);
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let received = buffer.filled().len() > before;
-        if received && !self.activity.busy.get() && self.activity.head_since.get().is_none() {
-            self.activity.head_since.set(Some(self.shared.now()));
+        let received = buffer.filled().len() - before;
+        let activity = &self.activity;
+        if received > 0 && !activity.busy.get() {
+            activity
+                .head_bytes
+                .set(activity.head_bytes.get() + received);
+            if activity.head_since.get().is_none() {
+                activity.head_since.set(Some(self.shared.now()));
+            }
         }
         result
     }
@@ -163,7 +264,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        Pin::new(self.stream.get_mut()).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -171,19 +272,23 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        Pin::new(self.stream.get_mut()).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        Pin::new(self.stream.get_mut()).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        ready!(Pin::new(self.stream.get_mut()).poll_shutdown(context))?;
+        if self.activity.head_too_long.get() {
+            ready!(self.poll_discard(context));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -232,39 +337,46 @@
         log::debug!(error:% = error; "connection closed before its first request");
         return;
     }
-    let activity = Rc::new(Activity {
-        busy: Cell::new(false),
-        idle_since: Cell::new(shared.now()),
-        head_since: Cell::new(None),
-        close: Notify::new(),
-    });
+    let activity = Rc::new(Activity::new(shared.now()));
     let _open = connections.open(Rc::clone(&activity));
     let stream = ActivityStream {
-        stream,
+        stream: stream.take(0),
         shared: Rc::clone(&shared),
         activity: Rc::clone(&activity),
+        source,
+        discarded: 0,
     };
-    let header_bytes = shared
-        .plan
-        .borrow()
-        .as_ref()
-        .map_or(DEFAULT_HEADER_BYTES, |plan| plan.limits().header_bytes);
     let first = Cell::new(true);
     let service = service_fn(|request| {
-        serve_request(&shared, &activity, request, first.replace(false), source)
+        let origin = Origin {
+            arrived: activity.begin(shared.now()),
+            first: first.replace(false),
+            source,
+        };
+        serve_request(&shared, &activity, request, origin)
     });
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .auto_date_header(false)
-        .max_buf_size((header_bytes + BUFFER_SLACK_BYTES).max(MIN_BUFFER_BYTES))
+        // The stream bounds heads, because the limit may change while the connection is open.
+        .max_buf_size(usize::MAX)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let discarded = async {
+        activity.refused.notified().await;
+        tokio::time::sleep(DISCARD_TIME).await;
+    };
+    tokio::pin!(discarded);
     let result = tokio::select! {
         result = connection.as_mut() => result,
+        () = &mut discarded => Ok(()),
         () = activity.close.notified() => {
             if activity.busy.get() || activity.head_since.get().is_none() {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                tokio::select! {
+                    result = connection => result,
+                    () = discarded => Ok(()),
+                }
             } else {
                 // Drops the connection: the request head is incomplete, and has timed out or the
                 // instance is stopping.
@@ -281,16 +393,11 @@
     shared: &Rc<Shared>,
     activity: &Activity,
     request: Request<Incoming>,
-    first: bool,
-    source: Source,
+    origin: Origin,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    let now = shared.now();
-    activity.busy.set(true);
-    let origin = Origin {
-        arrived: activity.head_since.take().unwrap_or(now),
-        first,
-        source,
-    };
+    if activity.head_too_long.get() {
+        return Ok(refuse_long_head(shared));
+    }
     let answers_due = shared.answers_due.notified();
     let mut response = tokio::select! {
         biased;
@@ -306,11 +413,21 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    activity.idle_since.set(shared.now());
-    activity.busy.set(false);
+    activity.end(shared.now());
     Ok(response)
 }
 
+/// Refuses a request whose head was ended at the limit. The rest of it is not read, so the connection
+/// closes.
+fn refuse_long_head(shared: &Shared) -> Response<Full<Bytes>> {
+    log::info!(config_version = shared.plan_version(); "request refused: its head is longer than permitted");
+    metrics::counter!("camphorhold_requests_total", "outcome" => "head_too_long").increment(1);
+    let mut response = empty_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// Answers the readiness checks of the load balancer until the process ends: 200 while the instance
 /// takes new requests, 503 while it starts or stops.
 pub async fn serve_readiness(shared: Rc<Shared>, listener: Rc<TcpListener>) {
