--- a/instance/tests/heads.rs
+++ b/instance/tests/heads.rs
@@ -30,14 +30,14 @@
         .header("x-camphorhold-deadline-ms", "3000")
         .header("cookie", "c".repeat(header_bytes))
         .body(Full::default())
-        .unwrap()
+        .expect("a valid request")
 }
 
 async fn status(connection: &mut Connection, id: &str, header_bytes: usize) -> StatusCode {
     let answer = connection
         .exchange(request(id, header_bytes), 1 << 20)
         .await;
-    answer.unwrap().status()
+    answer.expect("an answer").status()
 }
 
 /// Writes a version of the configuration with that limit, and waits until it is in force.
@@ -85,15 +85,12 @@
         log: None,
     });
     let process = process.unwrap();
-    let mut kept = None;
+    let connect = || Connection::open(process.caller_address(), TCP_OPTIONS);
     wait_until("the instance accepts connections", || async {
-        Connection::open(process.caller_address(), TCP_OPTIONS)
-            .await
-            .is_ok()
+        connect().await.is_ok()
     })
     .await;
-    kept.replace(Connection::open(process.caller_address(), TCP_OPTIONS).await);
-    let mut kept = kept.unwrap().unwrap();
+    let mut kept = connect().await.unwrap();
     let refused = status(&mut kept, "r1", 20).await;
     assert_eq!(refused, StatusCode::SERVICE_UNAVAILABLE);
     let leaf = &platform.leafs[0];
--- a/instance/tests/process.rs
+++ b/instance/tests/process.rs
@@ -342,11 +342,12 @@
     platform.configure(7, &["s2", "s1"]);
     platform.store.set_fault(Fault::None);
     let in_force = wait_until("the change is in force", || async {
-        let answer = instance.send("r", "/one/x").await.unwrap();
+        let answer = instance.send("r", "/one/x").await.expect("an answer");
         header(&answer, "x-camphorhold-server-stamp").starts_with("i-2")
     });
     let settling_time = Duration::from_secs(4);
-    tokio::time::timeout(settling_time, in_force).await.unwrap();
+    let in_time = tokio::time::timeout(settling_time, in_force).await;
+    assert!(in_time.is_ok(), "not in force within the settling time");
 }
 
 /// Guards against an instance that stays unregistered until its next renewal, minutes after its
