transport: bound whole exchanges, and let other tasks run beside floods

Cause: the HTTP library bounds one head, drops interim ones and reads on. Such a call always finds bytes, so it keeps the only thread, which also checks its deadline.

Ruled out: memory. memory_stays_bounded_while_fifty_leafs_flood passes with interim heads and with chunks of one byte on the code before.

Change: the client's stream ends the exchange after 64 KiB without a final head. Ports for readiness and metrics: heads of 16 KiB within 30 s. A connection yields after 128 requests.

Evidence: on floods_are_given_up, floods_keep_neither_callers_nor_readiness_checks_waiting and a_flood_of_one_leaf_is_answered_by_the_other fail (interim heads), and a_body_that_does_not_arrive_in_time_is_refused did not end within 400 s. The other new tests pass there, too.

--- a/instance/src/answer.rs
+++ b/instance/src/answer.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 
@@ -220,3 +221,11 @@
     *response.status_mut() = status;
     response
 }
+
+/// Returns a response to a request that was not read to its end, so that the connection closes.
+pub fn closing_response(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = empty_response(status);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
--- a/instance/src/exposition.rs
+++ b/instance/src/exposition.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Response;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::BuildError;
@@ -58,7 +57,7 @@
                 let body = Full::new(Bytes::from(handle.render()));
                 std::future::ready(Ok::<_, Infallible>(Response::new(body)))
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = server::own_server().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 log::debug!(error:% = error; "connection for metrics failed");
             }
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -16,11 +16,9 @@
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Route;
 use camphorhold::state::plan::Target;
+use camphorhold::transport::body;
 use camphorhold_platform::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -39,6 +37,7 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
 
+use crate::answer::closing_response;
 use crate::answer::empty_response;
 use crate::answer::refuse;
 use crate::answer::retry_after;
@@ -188,22 +187,25 @@
     };
     let (head, body) = request.into_parts();
     let role = handover::role(&head.headers);
-    let limit = plan.limits().body_bytes;
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
+    let wait = caller_wait(&head.headers).unwrap_or(route.timeout);
+    let deadline = origin.arrived + wait.min(route.timeout);
+    let reading = body::read(body, plan.limits().body_bytes, None);
+    let body = match tokio::time::timeout_at(deadline.into(), reading).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(body::Error::TooLong)) => return closing_response(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(body::Error::Broken(_))) => return closing_response(StatusCode::BAD_REQUEST),
+        Err(_) => {
+            log::info!(request = request_id(&head.headers), route = &*route.name; "request refused: its body did not arrive in time");
+            return closing_response(StatusCode::REQUEST_TIMEOUT);
         }
-        Err(_) => return empty_response(StatusCode::BAD_REQUEST),
     };
-    let wait = caller_wait(&head.headers).unwrap_or(route.timeout);
     let forwarded = Rc::new(ForwardedRequest {
         method: head.method,
         uri: origin_form(&head.uri),
         headers: end_to_end(head.headers),
         body,
         sent: Cell::new(false),
-        deadline: origin.arrived + wait.min(route.timeout),
+        deadline,
         route,
     });
     if origin.source == Source::Caller && shared.reachability.borrow().is_cut_off() {
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -27,6 +27,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
 use slab::Slab;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
@@ -38,6 +39,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::answer::closing_response;
 use crate::answer::empty_response;
 use crate::request;
 use crate::request::Origin;
@@ -67,6 +69,11 @@
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
+/// The longest head of a readiness check or a request for metrics, and how long it may take. The same
+/// time ends connections without requests.
+const OWN_HEAD_BYTES: usize = 16 << 10;
+const OWN_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Ends the head of a request that is longer than permitted, so that it can be answered.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -395,6 +402,8 @@
     request: Request<Incoming>,
     origin: Origin,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
+    // A caller that has sent many requests at once would otherwise keep the thread for all of them.
+    tokio::task::coop::consume_budget().await;
     if activity.head_too_long.get() {
         return Ok(refuse_long_head(shared));
     }
@@ -422,10 +431,17 @@
 fn refuse_long_head(shared: &Shared) -> Response<Full<Bytes>> {
     log::info!(config_version = shared.plan_version(); "request refused: its head is longer than permitted");
     metrics::counter!("camphorhold_requests_total", "outcome" => "head_too_long").increment(1);
-    let mut response = empty_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    response
+    closing_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
+}
+
+/// Returns a server for the requests of the platform and the operators.
+pub fn own_server() -> http1::Builder {
+    let mut server = http1::Builder::new();
+    server
+        .timer(TokioTimer::new())
+        .header_read_timeout(OWN_HEAD_TIMEOUT)
+        .max_buf_size(OWN_HEAD_BYTES);
+    server
 }
 
 /// Answers the readiness checks of the load balancer until the process ends: 200 while the instance
@@ -440,9 +456,7 @@
                         let response = readiness_response(&shared, &request);
                         std::future::ready(Ok::<_, Infallible>(response))
                     });
-                    let connection = http1::Builder::new()
-                        .header_read_timeout(None)
-                        .serve_connection(TokioIo::new(stream), service);
+                    let connection = own_server().serve_connection(TokioIo::new(stream), service);
                     if let Err(error) = connection.await {
                         log::debug!(error:% = error; "connection for readiness checks failed");
                     }
--- a/instance/src/tokens.rs
+++ b/instance/src/tokens.rs
@@ -18,11 +18,10 @@
 use camphorhold::coordination::serving::rate_limit::Claim;
 use camphorhold::coordination::serving::rate_limit::LEASE_LIFETIME;
 use camphorhold::state::rate::InvalidRate;
+use camphorhold::transport::body;
 use camphorhold::transport::http;
 use futures::future::join_all;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -293,11 +292,12 @@
     if shared.phase.get() != Phase::Serving {
         return empty_response(StatusCode::CONFLICT);
     }
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES);
-    let Ok(body) = body.collect().await else {
+    // The claimant does not wait longer.
+    let reading = body::read(request.into_body(), MAX_BODY_BYTES, None);
+    let Ok(Ok(body)) = tokio::time::timeout(TIMEOUT, reading).await else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
-    let claims = match serde_json::from_slice::<WireClaims>(&body.to_bytes()) {
+    let claims = match serde_json::from_slice::<WireClaims>(&body) {
         Ok(claims) if claims.claims.len() <= MAX_CLAIMS => claims,
         Ok(_) => return empty_response(StatusCode::BAD_REQUEST),
         Err(error) => {
--- a/instance/tests/hostile.rs
+++ b/instance/tests/hostile.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use camphorhold_testutils::platform::leaf::Behaviour;
 use camphorhold_testutils::platform::leaf::Flood;
@@ -12,6 +14,9 @@
 use hyper::StatusCode;
 use support::Instance;
 use support::Platform;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// The memory of a small instance of the platform, in bytes.
 const SMALL_MEMORY: usize = 160 << 20;
@@ -38,6 +43,38 @@
     }
 }
 
+/// Guards against other callers and readiness checks that wait while leafs of one service send bytes
+/// without end: such a call always finds something to read.
+#[tokio::test(flavor = "multi_thread")]
+async fn floods_keep_neither_callers_nor_readiness_checks_waiting() {
+    for flood in Flood::ALL {
+        let mut leafs = vec![("proper", "a")];
+        leafs.extend([("flooded", "a"); 9]);
+        let platform = Platform::start(&leafs).await;
+        let instance = Instance::start(&platform, "1", "a").await;
+        for leaf in &platform.leafs[1..] {
+            leaf.set_behaviour(Behaviour::Flood(flood));
+        }
+        let mut queries: FuturesUnordered<_> = (0..20)
+            .map(|_| instance.send("flooded", "/all/x"))
+            .collect();
+        let proper = async {
+            for number in 0..10 {
+                let id = format!("r{number}");
+                let answer = instance.send(&id, "/one/x").await;
+                assert_eq!(answer.unwrap().status(), StatusCode::OK, "{flood:?}");
+                assert!(instance.is_ready().await, "{flood:?}");
+            }
+        };
+        // Half a second after the time that the callers of the flooded service have.
+        let bound = Duration::from_millis(3_500);
+        let (in_time, ()) = tokio::join!(tokio::time::timeout(bound, proper), async {
+            while queries.next().await.is_some() {}
+        });
+        assert!(in_time.is_ok(), "{flood:?}");
+    }
+}
+
 /// Guards against an instance that runs out of memory because many leafs send bytes without end at
 /// the same time, and against innocent requests that fail meanwhile.
 #[tokio::test(flavor = "multi_thread")]
@@ -121,6 +158,77 @@
     }
 }
 
+/// Guards against a body of a caller that is read for ever, one byte at a time, and against a caller
+/// without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_does_not_arrive_in_time_is_refused() {
+    let platform = Platform::start(&[("s1", "a")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let mut stream = instance.connect_raw().await;
+    let head = "POST /one/x HTTP/1.1\r\nHost: q.example\r\nX-Camphorhold-Request-Id: r1\r\n\
+        X-Camphorhold-Deadline-Ms: 400\r\nContent-Length: 60000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let (mut from, mut to) = stream.split();
+    let drip = async {
+        while to.write_all(b"x").await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let mut answer = [0; 12];
+    tokio::select! {
+        read = from.read_exact(&mut answer) => drop(read.unwrap()),
+        () = drip => panic!("the connection was closed without an answer"),
+    }
+    assert_eq!(&answer, b"HTTP/1.1 408");
+    assert_eq!(platform.runs(), 0);
+}
+
+/// Guards against a caller that sends small requests without a pause and keeps all others waiting.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_requests_keep_no_other_caller_waiting() {
+    let platform = Platform::start(&[("s1", "a")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let requests = b"GET /none/x HTTP/1.1\r\nHost: q.example\r\n\r\n".repeat(20_000);
+    let mut stream = instance.connect_raw().await;
+    let (mut from, mut to) = stream.split();
+    let flood = async { while to.write_all(&requests).await.is_ok() {} };
+    let discard = async {
+        let mut bytes = vec![0; 1 << 16];
+        while from.read(&mut bytes).await.is_ok_and(|read| read > 0) {}
+    };
+    let proper = async {
+        for number in 0..20 {
+            let answer = instance.send(&format!("r{number}"), "/one/x").await;
+            assert_eq!(answer.unwrap().status(), StatusCode::OK);
+        }
+    };
+    tokio::select! {
+        () = flood => panic!("the flood ended"),
+        () = discard => panic!("the flood ended"),
+        () = proper => {}
+    }
+}
+
+/// Guards against the ports for readiness checks and metrics, which keep what is sent to them.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_without_end_at_the_other_ports_are_cut_off() {
+    let platform = Platform::start(&[("s1", "a")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    for address in instance.other_addresses() {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let _ = stream.write_all(b"GET /").await;
+        let mut sent = 0;
+        // Some MB fit into the buffers of the connection.
+        while sent < 64 << 20 && stream.write_all(&[b'x'; 1 << 16]).await.is_ok() {
+            sent += 1 << 16;
+        }
+        assert!(sent < 64 << 20, "{address}");
+    }
+    assert!(instance.is_ready().await);
+    let peak = instance.peak_memory();
+    assert!(peak < SMALL_MEMORY / 2, "{peak} bytes");
+}
+
 /// Guards against a process that ends, or a list of leafs that is no longer followed, because
 /// another writer left an odd entry among those of the leafs.
 #[tokio::test(flavor = "multi_thread")]
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -194,6 +194,20 @@
             .unwrap()
     }
 
+    /// Opens a connection to the address for callers, without an HTTP client.
+    pub async fn connect_raw(&self) -> TcpStream {
+        let address = self.process.caller_address();
+        TcpStream::connect(address).await.unwrap()
+    }
+
+    /// Returns the addresses for readiness checks and for metrics.
+    pub fn other_addresses(&self) -> [SocketAddr; 2] {
+        [
+            self.process.readiness_address(),
+            self.process.metrics_address(),
+        ]
+    }
+
     /// Returns whether the instance reports that it is ready. One that does not answer is not.
     pub async fn is_ready(&self) -> bool {
         is_ready(self.process.readiness_address()).await
--- a/lib/src/transport/http.rs
+++ b/lib/src/transport/http.rs
@@ -17,11 +17,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -30,9 +28,12 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use super::body;
+use super::head_limit;
+use super::head_limit::Allowance;
 use super::read_budget::ReadBudget;
 
-/// The longest head of an answer. The longest proper one is that of a merged answer, with a
+/// The longest head of an answer, interim heads before it included. The longest proper one is that of a merged answer, with a
 /// signature of some 40 bytes for each of a thousand shards.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -79,12 +80,22 @@
     }
 }
 
+impl From<body::Error> for Error {
+    fn from(error: body::Error) -> Self {
+        match error {
+            body::Error::TooLong => Self::TooLong,
+            body::Error::Broken(error) => Self::from_read(error),
+        }
+    }
+}
+
 type Driver = Pin<Box<dyn Future<Output = hyper::Result<()>>>>;
 
 /// A connection to a server, which carries one request at a time.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
+    head_allowance: Allowance,
 }
 
 impl std::fmt::Debug for Connection {
@@ -107,6 +118,7 @@
             .map_err(|_| Error::ConnectTimeout)?
             .map_err(Error::Connect)?;
         configure(&stream, options).map_err(Error::Connect)?;
+        let (stream, head_allowance) = head_limit::Stream::new(stream);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -115,6 +127,7 @@
         Ok(Self {
             sender,
             driver: Box::pin(driver),
+            head_allowance,
         })
     }
 
@@ -155,6 +168,8 @@
         budget: &ReadBudget,
     ) -> Result<Response<Bytes>, Error> {
         let sender = &mut self.sender;
+        let allowance = &self.head_allowance;
+        allowance.start(MAX_HEAD_BYTES);
         let mut answer = pin!(async move {
             let response = sender
                 .try_send_request(request)
@@ -166,8 +181,9 @@
                         Error::from_read(error.into_error())
                     }
                 })?;
+            allowance.lift();
             let (head, body) = response.into_parts();
-            let body = read_body(body, limit, budget).await?;
+            let body = body::read(body, limit, Some(budget)).await?;
             Ok(Response::from_parts(head, body))
         });
         let driver = &mut self.driver;
@@ -182,8 +198,18 @@
                 if let Poll::Ready(answer) = answer.as_mut().poll(context) {
                     return Poll::Ready(answer);
                 }
+                if allowance.is_exceeded() {
+                    return Poll::Ready(Err(Error::TooLong));
+                }
                 // Polling the answer may have handed the request to the driver.
-                if driver_ended || driver.as_mut().poll(context).is_pending() {
+                if driver_ended {
+                    return Poll::Pending;
+                }
+                if driver.as_mut().poll(context).is_pending() {
+                    if allowance.is_exceeded() {
+                        // The answer may have the head now.
+                        continue;
+                    }
                     return Poll::Pending;
                 }
                 driver_ended = true;
@@ -194,34 +220,6 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes, with as many of `budget` as are left for it.
-async fn read_body(mut body: Incoming, limit: usize, budget: &ReadBudget) -> Result<Bytes, Error> {
-    let reservation = budget.start();
-    let mut first = Bytes::new();
-    let mut rest = Vec::new();
-    let mut length = 0;
-    while let Some(frame) = body.frame().await {
-        let Ok(chunk) = frame.map_err(Error::from_read)?.into_data() else {
-            // Trailers are not used.
-            continue;
-        };
-        length += chunk.len();
-        if length > limit || reservation.take(chunk.len()).is_err() {
-            return Err(Error::TooLong);
-        }
-        // Most answers arrive as one chunk, which needs no copy.
-        if first.is_empty() && rest.is_empty() {
-            first = chunk;
-            continue;
-        }
-        if rest.is_empty() {
-            rest.extend_from_slice(&std::mem::take(&mut first));
-        }
-        rest.extend_from_slice(&chunk);
-    }
-    Ok(if rest.is_empty() { first } else { rest.into() })
-}
-
 fn configure(stream: &TcpStream, options: TcpOptions) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -82,11 +82,15 @@
     Drip,
     /// A complete answer, followed by further bytes.
     AfterAnswer,
+    /// Interim heads.
+    InterimHeads,
+    /// A body in chunks of one byte.
+    TinyChunks,
 }
 
 impl Flood {
     /// All kinds.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 10] = [
         Self::Head,
         Self::HeaderLines,
         Self::Length,
@@ -95,6 +99,8 @@
         Self::HugeChunk,
         Self::Drip,
         Self::AfterAnswer,
+        Self::InterimHeads,
+        Self::TinyChunks,
     ];
 
     /// The pause between two bytes of [`Flood::Drip`].
@@ -125,10 +131,20 @@
                 filler,
             ),
             Self::AfterAnswer => (answer.to_vec(), filler),
+            Self::InterimHeads => (Vec::new(), b"HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000)),
+            Self::TinyChunks => (
+                format!("{stamped}Transfer-Encoding: chunked\r\n\r\n").into_bytes(),
+                b"1\r\nx\r\n".repeat(10_000),
+            ),
         }
     }
 
-    async fn send(self, stream: &mut TcpStream, answer: &[u8]) -> std::io::Result<()> {
+    /// Sends the bytes until the caller closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error with which the connection ended.
+    pub async fn send(self, stream: &mut TcpStream, answer: &[u8]) -> std::io::Result<()> {
         let (first, again) = self.bytes(answer);
         stream.write_all(&first).await?;
         loop {
