--- a/instance/tests/hostile.rs
+++ b/instance/tests/hostile.rs
@@ -217,9 +217,10 @@
     for address in instance.other_addresses() {
         let mut stream = TcpStream::connect(address).await.unwrap();
         let _ = stream.write_all(b"GET /").await;
+        let bytes = vec![b'x'; 1 << 16];
         let mut sent = 0;
         // Some MB fit into the buffers of the connection.
-        while sent < 64 << 20 && stream.write_all(&[b'x'; 1 << 16]).await.is_ok() {
+        while sent < 64 << 20 && stream.write_all(&bytes).await.is_ok() {
             sent += 1 << 16;
         }
         assert!(sent < 64 << 20, "{address}");
