instance: accept an answer without an id only where nothing else can have caused it

Cause: an answer without an id was accepted as that to the request sent.

Change: it is accepted as the first answer on a connection, or if it is a refusal. Any other one counts as the answer to another request, and the connection is closed.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -225,8 +225,8 @@
     let result = exchange(&shared, &forwarded, call).await;
     let latency = shared.now().saturating_duration_since(in_flight.started);
     let (call_error, answer) = match result {
-        Ok(answer) => {
-            let call_error = check_answer(&forwarded, &answer);
+        Ok((answer, attribution)) => {
+            let call_error = check_answer(attribution, &answer);
             if comes_from_leaf(call_error) {
                 record_limit(&shared, call.leaf, in_flight.started, call_error, &answer);
                 record_wishes(&shared, call.leaf, &answer);
@@ -377,11 +377,35 @@
     Duration::try_from_secs_f64(seconds).ok()
 }
 
+/// What tells that an answer belongs to the request after which it was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Attribution {
+    /// It repeats the request's id, or there was no earlier request on the connection.
+    Certain,
+    /// It has no id, and may be a late answer to an earlier request on the connection.
+    Missing,
+    /// It repeats another id.
+    Wrong,
+}
+
+impl Attribution {
+    fn new(forwarded: &ForwardedRequest, answer: &Response<Bytes>, is_first: bool) -> Self {
+        let sent = forwarded.headers.get(header::REQUEST_ID);
+        let received = answer.headers().get(header::REQUEST_ID);
+        match received {
+            None if is_first => Self::Certain,
+            None => Self::Missing,
+            received if received == sent => Self::Certain,
+            Some(_) => Self::Wrong,
+        }
+    }
+}
+
 async fn exchange(
     shared: &Rc<Shared>,
     forwarded: &ForwardedRequest,
     call: LeafCall,
-) -> Result<Response<Bytes>, http::Error> {
+) -> Result<(Response<Bytes>, Attribution), http::Error> {
     let leaf = call.leaf;
     let target = shared.fleet.borrow().get(leaf).map(|leaf| {
         let entry = leaf.entry();
@@ -396,6 +420,7 @@
         CallSemantics::Idempotent => shared.leaf_pool.take(leaf, shared.now()),
         CallSemantics::AtMostOnce => None,
     };
+    let is_first = pooled.is_none();
     let mut connection = if let Some(connection) = pooled {
         connection
     } else {
@@ -414,10 +439,11 @@
     let answer = connection
         .exchange_within(request, limit, &shared.read_budget)
         .await?;
-    if !call.replaces_handover {
+    let attribution = Attribution::new(forwarded, &answer, is_first);
+    if !call.replaces_handover && attribution == Attribution::Certain {
         return_to_pool(shared, forwarded, leaf, connection, &answer);
     }
-    Ok(answer)
+    Ok((answer, attribution))
 }
 
 fn build_request(
@@ -435,8 +461,8 @@
     request
 }
 
-/// Returns the connection to the pool. Drops it if it is closed, if the answer belongs to another
-/// request, or if the leaf may have answered with an error before the whole body was sent.
+/// Returns the connection to the pool. Drops it if it is closed, or if the leaf may have answered with
+/// an error before the whole body was sent.
 fn return_to_pool(
     shared: &Shared,
     forwarded: &ForwardedRequest,
@@ -446,7 +472,7 @@
 ) {
     let body_may_be_unsent =
         forwarded.body.len() > SMALL_BODY_BYTES && !answer.status().is_success();
-    if body_may_be_unsent || !has_matching_id(forwarded, answer) || !connection.is_usable() {
+    if body_may_be_unsent || !connection.is_usable() {
         return;
     }
     let timeout = answer
@@ -467,21 +493,19 @@
         .map(Duration::from_secs)
 }
 
-/// Returns whether an answer belongs to the request. Leafs repeat the request's id; an answer
-/// without an id is accepted.
-fn has_matching_id(forwarded: &ForwardedRequest, answer: &Response<Bytes>) -> bool {
-    let sent = forwarded.headers.get(header::REQUEST_ID);
-    let received = answer.headers().get(header::REQUEST_ID);
-    received.is_none() || received == sent
-}
-
 /// Returns why an answer cannot be part of the result, or `None` if it can.
-fn check_answer(forwarded: &ForwardedRequest, answer: &Response<Bytes>) -> Option<CallError> {
-    if !has_matching_id(forwarded, answer) {
-        return Some(CallError::WrongRequest);
-    }
+fn check_answer(attribution: Attribution, answer: &Response<Bytes>) -> Option<CallError> {
     let headers = answer.headers();
     let status = answer.status();
+    let is_refusal =
+        status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN);
+    match attribution {
+        Attribution::Certain => {}
+        // Refusals may come without an id. On a connection that was used before, only requests are
+        // sent that may be repeated.
+        Attribution::Missing if is_refusal => {}
+        Attribution::Missing | Attribution::Wrong => return Some(CallError::WrongRequest),
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Some(CallError::Replaced);
     }
--- a/instance/tests/process.rs
+++ b/instance/tests/process.rs
@@ -98,6 +98,29 @@
     }
 }
 
+/// Guards against a second copy of an answer that arrives late on a connection in use again, has no
+/// id, and is given to the next caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_without_an_id_never_reaches_another_request() {
+    let platform = Platform::start(&[("s1", "a")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    let late = Behaviour::RepeatLate(Duration::from_millis(30));
+    platform.leafs[0].set_behaviour(late);
+    let mut connection = instance.connect().await;
+    let mut answered = 0;
+    for number in 0..20 {
+        let id = format!("r{number:02}");
+        let answer = exchange(&mut connection, &id, "/one/x").await.unwrap();
+        let stamp = header(&answer, "x-camphorhold-server-stamp");
+        assert!(
+            stamp.is_empty() || stamp.ends_with(&id),
+            "{id} got the answer with the stamp {stamp}"
+        );
+        answered += usize::from(answer.status().is_success());
+    }
+    assert!(answered >= 10, "{answered} of 20 answered");
+}
+
 /// Guards against incomplete answers: a leaf closes the connection in the middle of its answer. The
 /// instance must ask another leaf instead.
 #[tokio::test(flavor = "multi_thread")]
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -42,6 +42,11 @@
     Lose,
     /// It runs each request and sends its answer twice in a row.
     Repeat,
+    /// It runs each request and sends its answer again after this time, without the request's id.
+    RepeatLate(Duration),
+    /// It runs each request, and states in its answer that it closes idle connections after that
+    /// many seconds.
+    KeepAlive(u64),
     /// It runs the request and closes the connection 4 bytes before the end of the answer.
     Truncate,
     /// It runs the request, sends that many bytes of the head of the answer and closes the
@@ -295,7 +300,13 @@
         self.lock().poison = path.map(str::to_owned);
     }
 
-    /// Returns how many times a request has ended it.
+    /// Ends it, as a crash does: it closes all connections and refuses new ones for
+    /// [`RESTART_TIME`].
+    pub fn crash(&self) {
+        self.ends.send_modify(|ends| *ends += 1);
+    }
+
+    /// Returns how many times it has ended.
     #[must_use]
     pub fn ends(&self) -> usize {
         *self.ends.borrow()
@@ -430,6 +441,19 @@
             }
             Behaviour::Lose => return Ok(()),
             Behaviour::Repeat => stream.write_all(&[&answer[..], &answer].concat()).await?,
+            Behaviour::RepeatLate(time) => {
+                stream.write_all(&answer).await?;
+                tokio::time::sleep(time).await;
+                let id = format!("X-Camphorhold-Request-Id: {id}\r\n");
+                let head = String::from_utf8_lossy(&answer).replacen(&id, "", 1);
+                stream.write_all(head.as_bytes()).await?;
+            }
+            Behaviour::KeepAlive(seconds) => {
+                let framing = format!("Content-Length: 16\r\nKeep-Alive: timeout={seconds}");
+                let head = answer_head(&leaf.id, &id, &framing);
+                let answer = [head.as_bytes(), &leaf.record()].concat();
+                stream.write_all(&answer).await?;
+            }
             Behaviour::Flood(flood) => return flood.send(&mut stream, &answer).await,
             Behaviour::TruncateChunks => {
                 let head = answer_head(&leaf.id, &id, "Transfer-Encoding: chunked");
