instance: bound the idle timeouts that servers state

What callers saw: no answer, although a leaf had run the request, if the leaf stated Keep-Alive: timeout=.

Cause: the time was added to the current one, which panics beyond the range.

Change: at most an hour is believed.

Evidence: an_idle_timeout_without_bound_harms_no_request fails without the bound (overflow when adding duration to instant).

--- a/instance/src/pool.rs
+++ b/instance/src/pool.rs
@@ -17,6 +17,9 @@
 /// idle connections after a timeout, and a request sent at the same moment is lost.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
 
+/// The longest idle timeout of a server that is believed.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
+
 /// How long a connection may stay idle, as a share of the idle timeout that the server states. The
 /// rest covers the network delay of the next request.
 const IDLE_TIMEOUT_SHARE: f64 = 0.7;
@@ -66,7 +69,9 @@
         idle_timeout: Option<Duration>,
         now: Instant,
     ) {
-        let limit = idle_timeout.map_or(IDLE_LIMIT, |timeout| timeout.mul_f64(IDLE_TIMEOUT_SHARE));
+        let limit = idle_timeout.map_or(IDLE_LIMIT, |timeout| {
+            timeout.min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_SHARE)
+        });
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(server).or_default();
         // The connections below the top of the stack are needed only when the load rises.
--- a/instance/tests/process.rs
+++ b/instance/tests/process.rs
@@ -121,6 +121,19 @@
     assert!(answered >= 10, "{answered} of 20 answered");
 }
 
+/// Guards against a panic, and a caller without an answer, because a leaf states an idle timeout that
+/// lies beyond the range of times.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_timeout_without_bound_harms_no_request() {
+    let platform = Platform::start(&[("s1", "a")]).await;
+    let instance = Instance::start(&platform, "1", "a").await;
+    platform.leafs[0].set_behaviour(Behaviour::KeepAlive(u64::MAX));
+    for number in 0..3 {
+        let answer = instance.send(&format!("r{number}"), "/one/x").await;
+        assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    }
+}
+
 /// Guards against incomplete answers: a leaf closes the connection in the middle of its answer. The
 /// instance must ask another leaf instead.
 #[tokio::test(flavor = "multi_thread")]
