instance: add up samples of histograms without a reader of the metrics

What was seen: memory grew by 18 bytes a sample until /metrics was read.

Cause: the library's upkeep ran only in the handler of /metrics.

Change: a task runs it every 5 s.

--- a/instance/src/exposition.rs
+++ b/instance/src/exposition.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -20,6 +21,10 @@
     0.005, 0.01, 0.02, 0.04, 0.06, 0.1, 0.15, 0.25, 0.6, 1.5, 3.0, 6.0,
 ];
 
+/// How often samples are added to their histograms. An instance takes some hundred samples a second,
+/// of 18 bytes each.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Installs the process-wide metrics recorder and returns the handle that renders its metrics.
 ///
 /// # Errors
@@ -31,6 +36,15 @@
         .install_recorder()
 }
 
+/// Keeps the memory of the histograms bounded, until the process ends. Their samples are kept one by
+/// one until this is done.
+pub async fn maintain(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        handle.run_upkeep();
+    }
+}
+
 /// Serves the metrics at `address`, on every path, until the process ends. If the address cannot be
 /// listened on, logs a warning and returns: the instance runs without serving metrics.
 pub async fn serve(address: SocketAddr, handle: PrometheusHandle) {
@@ -53,7 +67,6 @@
         let handle = handle.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |_| {
-                handle.run_upkeep();
                 let body = Full::new(Bytes::from(handle.render()));
                 std::future::ready(Ok::<_, Infallible>(Response::new(body)))
             });
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -154,6 +154,10 @@
             )
         })
     });
+    let handle = metrics.1.clone();
+    spawn("metrics upkeep", move || {
+        exposition::maintain(handle.clone())
+    });
     spawn("metrics", move || {
         exposition::serve(metrics.0, metrics.1.clone())
     });
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -167,9 +167,18 @@
 
     /// Returns the largest amount of memory that the process has occupied so far, in bytes.
     pub fn peak_memory(&self) -> usize {
+        self.memory_line("VmHWM:")
+    }
+
+    /// Returns the memory that the process occupies, in bytes.
+    pub fn memory(&self) -> usize {
+        self.memory_line("VmRSS:")
+    }
+
+    fn memory_line(&self, name: &str) -> usize {
         let id = self.process.id().unwrap();
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(name));
         let kilobytes = line.unwrap().trim().trim_end_matches(" kB");
         kilobytes.parse::<usize>().unwrap() << 10
     }
