instance: count one event for requests in progress when leafs end

Cause: each request that lost its connection counted as a crash of its own.

Change: requests that were admitted before any crash of their fingerprint was known count as one, at whichever instance. Only canaries add to the count.

What lost: counting by lives of leafs; a query loses several leafs at once.

Evidence: the_end_of_one_leaf_under_equal_requests_blocks_none_of_them passes eight times; with the earlier counting the request stays blocked in three runs of three (stopped after 15 s each).

Not mended: a canary on a leaf that ends for another reason still counts.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -138,7 +138,7 @@
         if canary.is_some() {
             poison.canary_finished(fingerprint, poison::Outcome::Crashed, now);
         } else {
-            poison.crashed(fingerprint, now);
+            poison.crashed_unsuspected(fingerprint, now);
         }
         let attempts = poison.crashes(fingerprint);
         drop(poison);
--- a/instance/tests/poison.rs
+++ b/instance/tests/poison.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
+use camphorhold_testutils::platform::leaf::Behaviour;
 use camphorhold_testutils::platform::leaf::Leaf;
+use futures::future::join_all;
 use hyper::StatusCode;
 use support::Instance;
 use support::Platform;
@@ -111,6 +113,62 @@
     assert_eq!(runs(&platform, "/one/bad"), before);
 }
 
+/// Guards against a harmless request that is refused everywhere for minutes because several equal ones
+/// were in progress when one leaf ended: each counted as a crash of its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_end_of_one_leaf_under_equal_requests_blocks_none_of_them() {
+    let platform = Platform::start(&[("s1", "a"), ("s1", "a"), ("s1", "b")]).await;
+    let instances = start_instances(&platform).await;
+    assert_equal_requests_outlive_a_leaf(&platform, &instances).await;
+}
+
+/// Guards against the same when leafs end one after the other: a canary may be on the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_ends_of_several_leafs_under_equal_requests_block_none_of_them() {
+    let platform = Platform::start(&[("s1", "a"), ("s1", "a"), ("s1", "b")]).await;
+    let instances = start_instances(&platform).await;
+    for _ in 0..3 {
+        assert_equal_requests_outlive_a_leaf(&platform, &instances).await;
+    }
+}
+
+/// Ends a leaf that runs several equal requests, and checks that all instances then answer the same
+/// request.
+async fn assert_equal_requests_outlive_a_leaf(platform: &Platform, instances: &[Instance]) {
+    let leafs = &platform.leafs;
+    for leaf in leafs {
+        leaf.set_behaviour(Behaviour::Slow(Duration::from_millis(300)));
+    }
+    let before: Vec<usize> = leafs.iter().map(|leaf| leaf.runs().len()).collect();
+    let requests = instances.iter().flat_map(|instance| {
+        (0..4).map(move |number| {
+            let id = format!("r{number}");
+            async move { instance.send(&id, "/once/x").await }
+        })
+    });
+    let busy = || {
+        let mut leafs = leafs.iter().zip(&before);
+        leafs.find(|(leaf, before)| leaf.runs().len() > *before + 1)
+    };
+    let crash = async {
+        wait_until("a leaf runs two of them", || async { busy().is_some() }).await;
+        busy().expect("a busy leaf").0.crash();
+    };
+    let (answers, ()) = tokio::join!(join_all(requests), crash);
+    let lost = answers.iter().filter(|answer| {
+        let answer = answer.as_ref().expect("an answer");
+        answer.status() == StatusCode::BAD_GATEWAY
+    });
+    assert!(lost.count() > 1, "the leaf had one request only");
+    for instance in instances {
+        wait_until("the request is answered", || async {
+            let answer = instance.send("again", "/once/x").await;
+            answer.expect("an answer").status() == StatusCode::OK
+        })
+        .await;
+    }
+}
+
 /// Guards against a harmless request that is refused because leafs ended while they ran it, even if
 /// that happens again and again: the next attempt is answered, and so are those after it.
 #[tokio::test(flavor = "multi_thread")]
--- a/lib/src/coordination/poison.rs
+++ b/lib/src/coordination/poison.rs
@@ -190,6 +190,15 @@
         }
     }
 
+    /// Counts a crash during a request that was admitted before any crash of its fingerprint was
+    /// known. All of these count as one: they may have seen the end of the same server, and requests
+    /// that many callers send are in progress whenever a server ends.
+    pub fn crashed_unsuspected(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if self.crashes(fingerprint) == 0 {
+            self.crashed(fingerprint, now);
+        }
+    }
+
     /// Merges a crash count of another instance that expires after `remaining`. Keeps the larger
     /// count and the later expiry.
     pub fn merge(
