--- a/instance/tests/soak.rs
+++ b/instance/tests/soak.rs
@@ -14,6 +14,7 @@
 fn run_with(seed: u64, seconds: u64, additional: bool) {
     let result = camphorhold_soak::run(&Options {
         program: Path::new(env!("CARGO_BIN_EXE_camphorhold-instance")).into(),
+        previous: None,
         seed,
         length: Duration::from_secs(seconds),
         instances: 3,
--- a/soak/src/instances.rs
+++ b/soak/src/instances.rs
@@ -4,6 +4,8 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +44,8 @@
     started: Cell<Instant>,
     // Whether the soak has sent SIGTERM since the last start, so that an exit is expected.
     terminating: Cell<bool>,
+    // The program that the next restart runs, if it is another one.
+    next_program: RefCell<Option<PathBuf>>,
     store_link: Proxy,
 }
 
@@ -50,7 +54,11 @@
         self.starts.set(self.starts.get() + 1);
         self.started.set(now());
         self.terminating.set(false);
-        self.process.borrow_mut().restart()
+        let mut process = self.process.borrow_mut();
+        if let Some(next) = &mut *self.next_program.borrow_mut() {
+            *next = process.set_program(std::mem::take(next));
+        }
+        process.restart()
     }
 
     /// Returns whether a process that got SIGTERM at `signalled` has exited as it should: with
@@ -78,10 +86,13 @@
     /// Starts one instance per place, each with its own proxy to the store.
     pub(crate) fn start(
         places: Vec<ProcessConfig>,
+        previous: Option<&Path>,
         evidence: Rc<RefCell<Evidence>>,
     ) -> std::io::Result<Self> {
         let mut sites = Vec::new();
         for mut place in places {
+            let next_program =
+                previous.map(|previous| std::mem::replace(&mut place.program, previous.into()));
             let store_link = Proxy::start(place.store)?;
             place.store = store_link.address();
             sites.push(Instance {
@@ -89,6 +100,7 @@
                 starts: Cell::new(1),
                 started: Cell::new(now()),
                 terminating: Cell::new(false),
+                next_program: RefCell::new(next_program),
                 store_link,
             });
         }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -25,6 +25,9 @@
 pub struct Options {
     /// The path of the instance binary.
     pub program: PathBuf,
+    /// The path of another release of the instance. All instances begin with it, are replaced one
+    /// after the other, and run the other program after each restart, whatever caused it.
+    pub previous: Option<PathBuf>,
     /// The seed of the generator that draws all faults and requests.
     pub seed: u64,
     /// The time, from the start of the run, within which faults begin.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -16,6 +16,10 @@
     /// The path of the instance binary.
     #[arg(long, default_value = "target/release/camphorhold-instance")]
     program: PathBuf,
+    /// The path of another release of the instance. The run begins with it, and each restart of an
+    /// instance changes between the two.
+    #[arg(long)]
+    previous: Option<PathBuf>,
     /// The first seed. A random one by default.
     #[arg(long)]
     seed: Option<u64>,
@@ -45,6 +49,7 @@
     for seed in first..first + arguments.seeds {
         let report = camphorhold_soak::run(&Options {
             program: arguments.program.clone(),
+            previous: arguments.previous.clone(),
             seed,
             length: Duration::from_secs(arguments.seconds),
             instances: arguments.instances,
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -28,9 +28,10 @@
 /// The random stream of the faults that [`draw_additional`] draws.
 const ADDITIONAL_STREAM: u64 = 1;
 
-/// The most restores of the store and limits of leafs in one run.
+/// The most restores of the store, limits of leafs and ends of all leases in one run.
 const MAX_RESTORES: usize = 2;
 const MAX_LIMITS: usize = 3;
+const MAX_LEASE_ENDS: usize = 1;
 
 /// The range of the time for which a leaf names a limit, in milliseconds, and of the limits, in
 /// requests per second. The time exceeds that after which the bound on requests holds.
@@ -69,6 +70,8 @@
     Restore,
     /// A leaf names a limit on requests, in requests per second from all instances together.
     Limit(usize, u32),
+    /// All leases of the store run out.
+    EndLeases,
     /// Another writer adds an entry to the store, under the prefix of the leafs, that does not
     /// describe a leaf.
     ForeignEntry,
@@ -109,7 +112,7 @@
     events
 }
 
-/// Draws restores of the store and limits of leafs, in some runs none. They come on top of the
+/// Draws restores of the store, limits of leafs and ends of leases, in some runs none. They come on top of the
 /// faults that [`draw`] returns, so that those of earlier seeds stay as they were.
 pub(crate) fn draw_additional(seed: u64, counts: TargetCounts, length: Duration) -> Vec<Event> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -131,9 +134,29 @@
             fault: Fault::Limit(leaf, random.random_range(LIMIT)),
         });
     }
+    for _ in 0..random.random_range(0..=MAX_LEASE_ENDS) {
+        events.push(Event {
+            at: Duration::from_millis(random.random_range(0..latest)),
+            length: Duration::ZERO,
+            fault: Fault::EndLeases,
+        });
+    }
     events
 }
 
+/// Returns the planned replacement of all instances, one after the other.
+pub(crate) fn replacements(counts: TargetCounts, length: Duration) -> Vec<Event> {
+    let instances = u32::try_from(counts.instances).unwrap_or(u32::MAX);
+    (0..counts.instances)
+        .zip(1..)
+        .map(|(instance, turn)| Event {
+            at: length * turn / instances.saturating_add(1),
+            length: Duration::ZERO,
+            fault: Fault::Terminate(instance),
+        })
+        .collect()
+}
+
 type DrawFault = fn(&mut ChaCha8Rng, TargetCounts) -> Fault;
 
 const KINDS: [DrawFault; 13] = [
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -112,6 +112,9 @@
         let additional = schedule::draw_additional(options.seed, counts, options.length);
         events.extend(additional);
     }
+    if options.previous.is_some() {
+        events.extend(schedule::replacements(counts, options.length));
+    }
     let world = Rc::new(World::start(options).await?);
     let records = Records::default();
     let addresses = world.instances.addresses();
@@ -193,7 +196,11 @@
         };
         let places = (0..options.instances).map(place).collect();
         let evidence = Rc::new(RefCell::new(Evidence::new(options.instances)));
-        let instances = Rc::new(Instances::start(places, Rc::clone(&evidence))?);
+        let instances = Rc::new(Instances::start(
+            places,
+            options.previous.as_deref(),
+            Rc::clone(&evidence),
+        )?);
         let world = Self {
             store,
             instances,
@@ -343,6 +350,7 @@
                 self.store.remove(&key);
                 self.evacuating[domain].set(false);
             }
+            Fault::EndLeases => self.store.end_leases(),
             Fault::ForeignEntry => {
                 let number = self.foreign.replace(self.foreign.get() + 1);
                 let entry = json!({"service": number, "address": "nowhere"});
--- a/testutils/src/platform/process.rs
+++ b/testutils/src/platform/process.rs
@@ -121,6 +121,11 @@
         Ok(())
     }
 
+    /// Replaces the executable that the next [`Self::restart`] runs. Returns the one before.
+    pub fn set_program(&mut self, program: PathBuf) -> PathBuf {
+        std::mem::replace(&mut self.config.program, program)
+    }
+
     /// Returns the process id, or `None` after [`Self::kill`].
     #[must_use]
     pub fn id(&self) -> Option<u32> {
