--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -13,7 +13,6 @@
 //! of the caller's instance go to a coordinator in a domain that has their leafs, which divides them
 //! among the owners there: one exchange per query crosses the domain boundary, whatever the number
 //! of shards.
-
 //!
 //! An instance with little traffic would notice only by lost queries that another one is silent.
 //! Therefore the answer to a handover names the instances that have just failed the answering one,
