instance: log losses that do not count, and trials of suspect requests

An attempt that loses connections now has a line in each case, with the reason, and a trial one at its start and one if it shows nothing. No decision changes.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -96,7 +96,11 @@
     let admission = shared.poison.borrow_mut().admit_suspect(fingerprint, now);
     let (reason, pause) = match admission {
         Admission::KnownGood => return Ok(trial(None)),
-        Admission::RunCanary => return Ok(trial(Some(fingerprint))),
+        Admission::RunCanary => {
+            let attempts = shared.poison.borrow().crashes(fingerprint);
+            log::info!(request = forwarded.id(), fingerprint:% = fingerprint, attempts = attempts; "suspect request is tried on one leaf");
+            return Ok(trial(Some(fingerprint)));
+        }
         Admission::WaitForCanary | Admission::Full => ("is being tried", CANARY_PAUSE),
         Admission::Blocked { until } => ("is blocked", until.saturating_duration_since(now)),
     };
@@ -114,6 +118,9 @@
     /// Finds out, without delaying the answer, whether the request has ended leafs.
     pub fn end(mut self, finished: &FinishedRequest) {
         let Some(loss) = finished.loss.clone() else {
+            if finished.lost_leafs > 0 {
+                self.log_dismissed(finished.lost_leafs, "a leaf has answered the request");
+            }
             if finished.has_survivor
                 && let Some(fingerprint) = self.canary.take()
             {
@@ -124,12 +131,18 @@
             return;
         };
         tokio::task::spawn_local(async move {
-            if has_ended_leafs(&self.shared, &loss).await {
-                self.record_crash();
+            match ended_leafs(&self.shared, &loss).await {
+                Ok(()) => self.record_crash(),
+                Err(reason) => self.log_dismissed(loss.leafs.len(), reason),
             }
         });
     }
 
+    fn log_dismissed(&self, lost_leafs: usize, reason: &'static str) {
+        metrics::counter!("camphorhold_dismissed_losses_total").increment(1);
+        log::info!(request = self.forwarded.id(), fingerprint:% = self.forwarded.fingerprint(), lost_leafs = lost_leafs, canary = self.is_canary(), reason = reason; "lost connections do not count against the request");
+    }
+
     fn record_crash(&mut self) {
         let canary = self.canary.take();
         let fingerprint = canary.unwrap_or_else(|| self.forwarded.fingerprint());
@@ -163,13 +176,18 @@
 impl Drop for Trial {
     fn drop(&mut self) {
         if let Some(fingerprint) = self.canary.take() {
+            log::info!(request = self.forwarded.id(), fingerprint:% = fingerprint; "the trial of a suspect request has shown nothing");
             self.finish_canary(fingerprint, poison::Outcome::Survived);
         }
     }
 }
 
-/// Returns whether one of the leafs that were lost is down, while another leaf accepts connections.
-async fn has_ended_leafs(shared: &Shared, loss: &Loss) -> bool {
+/// Finds out whether one of the leafs that were lost is down, while another leaf accepts connections.
+///
+/// # Errors
+///
+/// Returns the reason for which the loss says nothing about the request.
+async fn ended_leafs(shared: &Shared, loss: &Loss) -> Result<(), &'static str> {
     let references = shared
         .fleet
         .borrow()
@@ -179,7 +197,13 @@
         join_all(lost_leafs.map(|leaf| probe::connect(shared, *leaf))),
         probe::any_accepts_connections(shared, &references)
     );
-    any_reference_accepts && responses.contains(&probe::Response::Down)
+    if !responses.contains(&probe::Response::Down) {
+        Err("none of the leafs is down")
+    } else if !any_reference_accepts {
+        Err("no other leaf accepts connections")
+    } else {
+        Ok(())
+    }
 }
 
 /// Writes the counts of requests that have ended leafs to the store, until the process ends.
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -64,6 +64,9 @@
     pub loss: Option<Loss>,
     /// Whether a leaf has survived the request.
     pub has_survivor: bool,
+    /// The number of leafs whose connections were lost under the request, at most
+    /// [`MAX_LOST_LEAFS`].
+    pub lost_leafs: usize,
     /// Whether leafs may have received the request.
     pub may_have_called: bool,
 }
@@ -367,6 +370,7 @@
     fn finish(mut self, verdict: Verdict) -> FinishedRequest {
         let now = self.shared.now();
         let has_survivor = self.fanout.has_survivor();
+        let lost_leafs = self.lost.len();
         FinishedRequest {
             ended: now,
             store_age: now.saturating_duration_since(self.shared.last_store_answer.get()),
@@ -380,6 +384,7 @@
                 called: self.fanout.called_leafs().collect(),
             }),
             has_survivor,
+            lost_leafs,
             may_have_called: self.fanout.may_have_called(),
         }
     }
