--- a/instance/tests/poison.rs
+++ b/instance/tests/poison.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use camphorhold_testutils::platform::leaf::Behaviour;
@@ -18,6 +19,10 @@
 const ENDED_LEAFS: usize = 3;
 const FURTHER_RUNS: usize = 3;
 
+/// The time within which what one instance has seen is known to all of them, as the settings of the
+/// stand-in state it.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
+
 /// The pause between two attempts of a caller. The leafs that an attempt has ended are back after
 /// it.
 const PAUSE: Duration = Duration::from_millis(1_500);
@@ -40,6 +45,23 @@
     runs.filter(|run| run.path == path).count()
 }
 
+/// Returns the ids of the attempts with this path that have reached leafs, those that a leaf answered
+/// with an error included.
+fn attempts(platform: &Platform, path: &str) -> HashSet<String> {
+    let runs = platform.leafs.iter().flat_map(Leaf::runs);
+    let runs = runs.filter(|run| run.path == path);
+    runs.map(|run| run.request).collect()
+}
+
+/// Sends a request to all instances at the same moment, and returns the statuses of the answers.
+async fn send_to_all(instances: &[Instance], round: &str, path: &str) -> Vec<StatusCode> {
+    let requests = instances.iter().enumerate().map(|(number, instance)| {
+        let id = format!("{round}-{number}");
+        async move { instance.send(&id, path).await.expect("an answer").status() }
+    });
+    join_all(requests).await
+}
+
 /// Sends a request to each instance in turn, as a caller that tries again and again.
 async fn repeat(instances: &[Instance], path: &str, attempts: usize) {
     for attempt in 0..attempts {
@@ -113,6 +135,77 @@
     assert_eq!(runs(&platform, "/one/bad"), before);
 }
 
+/// Guards against a query that goes on ending leafs because one other leaf answers it with an error.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_error_of_one_leaf_does_not_clear_a_query_that_ends_the_others() {
+    const SHARDS: [&str; 6] = ["s1", "s2", "s3", "s4", "s5", "s6"];
+    let leafs: Vec<(&str, &str)> = SHARDS
+        .iter()
+        .flat_map(|shard| [(*shard, "a"), (*shard, "b")])
+        .collect();
+    let platform = Platform::start(&leafs).await;
+    let instances = start_instances(&platform).await;
+    for leaf in &platform.leafs {
+        if leaf.service() == "s1" {
+            leaf.set_behaviour(Behaviour::Fail(504));
+        } else {
+            leaf.set_poison(Some("/all/bad"));
+        }
+    }
+    repeat(&instances, "/all/bad", 1).await;
+    assert!(ends(&platform) <= SHARDS.len(), "{} ended", ends(&platform));
+    repeat(&instances, "/all/bad", 9).await;
+    let further = attempts(&platform, "/all/bad").len() - 1;
+    assert!(further <= FURTHER_RUNS, "{further} more attempts");
+}
+
+/// Guards against a suspect request that each instance tries by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_instances_together_try_a_suspect_request_once() {
+    let platform = Platform::start(&[("s1", "a"); 9]).await;
+    let mut instances = start_instances(&platform).await;
+    for (name, domain) in [("4", "b"), ("5", "c"), ("6", "c"), ("7", "c")] {
+        instances.push(Instance::start(&platform, name, domain).await);
+    }
+    for leaf in &platform.leafs {
+        leaf.set_poison(Some("/once/bad"));
+    }
+    send_to_all(&instances, "first", "/once/bad").await;
+    tokio::time::sleep(CONTACT_TIME).await;
+    let first = attempts(&platform, "/once/bad").len();
+    for round in 0..4 {
+        send_to_all(&instances, &format!("round-{round}"), "/once/bad").await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    let further = attempts(&platform, "/once/bad").len() - first;
+    assert!(further <= FURTHER_RUNS, "{further} more attempts");
+}
+
+/// Guards against trials without a clear end that change nothing, so that they are repeated for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn trials_that_end_in_errors_are_bounded() {
+    let platform = Platform::start(&[("s1", "a"); 9]).await;
+    let instances = start_instances(&platform).await;
+    for (number, leaf) in platform.leafs.iter().enumerate() {
+        if number % 3 == 0 {
+            leaf.set_behaviour(Behaviour::Fail(500));
+        } else {
+            leaf.set_poison(Some("/one/bad"));
+        }
+    }
+    send_to_all(&instances, "first", "/one/bad").await;
+    tokio::time::sleep(CONTACT_TIME).await;
+    let first = attempts(&platform, "/one/bad").len();
+    for round in 0..20 {
+        send_to_all(&instances, &format!("round-{round}"), "/one/bad").await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    let further = attempts(&platform, "/one/bad").len() - first;
+    assert!(further <= FURTHER_RUNS, "{further} more attempts");
+    let answer = instances[0].send("good", "/one/good").await.unwrap();
+    assert!(answer.status().is_success() || answer.status() == StatusCode::INTERNAL_SERVER_ERROR);
+}
+
 /// Guards against a harmless request that is refused everywhere for minutes because several equal ones
 /// were in progress when one leaf ended: each counted as a crash of its own.
 #[tokio::test(flavor = "multi_thread")]
