serving: an error of a leaf does not show that leafs survive a request

Cause: the 504 of a leaf that had given up at its time limit counted as its survival.

Change: only a usable answer, or a signed 4xx, shows that a leaf has run the request and lived. Anything else leaves the request as suspect as it was; a trial goes on to another leaf. Why that works: a request that ends each leaf that begins to run it never gets such an answer.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -252,6 +252,9 @@
         None => (Outcome::Answered, CallResult::Answered(latency)),
         Some(CallError::Refused) => (Outcome::NotRun, CallResult::Refused),
         Some(CallError::Replaced) => (Outcome::NotRun, CallResult::Replaced),
+        Some(CallError::Status(status)) if blames_request(status, answer.as_ref()) => {
+            (Outcome::Rejected, CallResult::Failed)
+        }
         Some(CallError::WrongRequest | CallError::Status(_) | CallError::TooLong) => {
             (Outcome::Failed, CallResult::Failed)
         }
@@ -280,6 +283,7 @@
         Outcome::NotRun => "not_run",
         Outcome::Unsent => "unsent",
         Outcome::Failed => "failed",
+        Outcome::Rejected => "rejected",
         Outcome::Lost => "lost",
     }
 }
@@ -493,6 +497,16 @@
         .map(Duration::from_secs)
 }
 
+/// Returns whether an error comes from a leaf that has run the request and found it to be at fault.
+fn blames_request(status: StatusCode, answer: Option<&Response<Bytes>>) -> bool {
+    status.is_client_error()
+        && !matches!(
+            status,
+            StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS
+        )
+        && answer.is_some_and(|answer| answer.headers().contains_key(header::SIGNATURE))
+}
+
 /// Returns why an answer cannot be part of the result, or `None` if it can.
 fn check_answer(attribution: Attribution, answer: &Response<Bytes>) -> Option<CallError> {
     let headers = answer.headers();
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -280,7 +280,9 @@
                     answer,
                 }));
             }
-            Outcome::Failed => self.failure = end.answer.or(self.failure.take()),
+            Outcome::Failed | Outcome::Rejected => {
+                self.failure = end.answer.or(self.failure.take());
+            }
             Outcome::Answered | Outcome::NotRun | Outcome::Unsent | Outcome::Lost => {}
         }
     }
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -131,8 +131,10 @@
             self.may_have_run = true;
         }
         match outcome {
-            Outcome::Answered | Outcome::Failed => self.on_survived(context, calls),
-            Outcome::NotRun | Outcome::Unsent => self.crash_guard.on_not_run(leaf),
+            Outcome::Answered | Outcome::Rejected => self.on_survived(context, calls),
+            Outcome::NotRun | Outcome::Unsent | Outcome::Failed => {
+                self.crash_guard.on_inconclusive(leaf);
+            }
             Outcome::Lost => self.crash_guard.on_lost(leaf),
         }
         let progress = &mut self.shards[shard];
@@ -152,10 +154,12 @@
                 }
             }
             Outcome::NotRun => self.retry(shard, context, calls),
-            Outcome::Failed | Outcome::Lost if self.semantics == CallSemantics::Idempotent => {
+            Outcome::Failed | Outcome::Rejected | Outcome::Lost
+                if self.semantics == CallSemantics::Idempotent =>
+            {
                 self.retry(shard, context, calls);
             }
-            Outcome::Failed | Outcome::Lost => self.fail(shard, context),
+            Outcome::Failed | Outcome::Rejected | Outcome::Lost => self.fail(shard, context),
         }
     }
 
@@ -184,7 +188,9 @@
                 self.on_survived(context, calls);
                 return;
             }
-            Outcome::Failed | Outcome::Lost | Outcome::NotRun => progress.sent_calls += 1,
+            Outcome::Failed | Outcome::Rejected | Outcome::Lost | Outcome::NotRun => {
+                progress.sent_calls += 1;
+            }
             Outcome::Unsent => {
                 // The next queries will need the connection too, until the other instance takes
                 // handovers again.
--- a/lib/src/coordination/serving/fanout/crash_guard.rs
+++ b/lib/src/coordination/serving/fanout/crash_guard.rs
@@ -59,13 +59,14 @@
         }
     }
 
-    /// Records that a leaf has answered, also with an error: it has survived the request.
+    /// Records that a leaf has survived the request.
     pub(super) fn on_survived(&mut self) {
         self.0 = State::Survived;
     }
 
-    /// Records that a call has reached no leaf, or that the leaf did not run it.
-    pub(super) fn on_not_run(&mut self, leaf: LeafKey) {
+    /// Records that a call has reached no leaf, or that the leaf did not run it or has failed. The next
+    /// call is the canary.
+    pub(super) fn on_inconclusive(&mut self, leaf: LeafKey) {
         if self.0 == State::Canary(leaf) {
             self.0 = State::Suspect;
         }
--- a/lib/src/coordination/serving/fanout/message.rs
+++ b/lib/src/coordination/serving/fanout/message.rs
@@ -92,8 +92,11 @@
     /// No leaf has received the request: it could not be sent, or the instance to which it was handed
     /// over has called none.
     Unsent,
-    /// The leaf failed, or may have run the request without an answer.
+    /// The leaf failed, or may have run the request without an answer. An error says nothing about
+    /// whether leafs survive the request: a leaf in trouble answers every request with one.
     Failed,
+    /// The leaf has run the request and answered that the request is at fault.
+    Rejected,
     /// The connection was lost before the answer was complete. The leaf may have run the request,
     /// and may have ended.
     Lost,
@@ -103,7 +106,7 @@
     /// Returns whether a leaf may have run the request.
     pub(super) fn may_have_run(self) -> bool {
         match self {
-            Self::Answered | Self::Failed | Self::Lost => true,
+            Self::Answered | Self::Failed | Self::Rejected | Self::Lost => true,
             Self::NotRun | Self::Unsent => false,
         }
     }
--- a/lib/tests/serving_crash_guard.rs
+++ b/lib/tests/serving_crash_guard.rs
@@ -224,3 +224,23 @@
         }
     );
 }
+
+/// Guards against a leaf's error that ends the caution: the leaf may not have run the request.
+#[test]
+fn an_error_of_a_leaf_shows_nothing_about_a_suspect_request() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request(true);
+    let again = world.end(&mut fanout, calls[0], Outcome::Failed, 5);
+    assert_eq!(again.len(), 1);
+    assert!(!fanout.has_survivor());
+    assert!(
+        world
+            .end(&mut fanout, again[0], Outcome::Lost, 10)
+            .is_empty()
+    );
+
+    let (mut fanout, calls) = world.start_request(true);
+    let others = world.end(&mut fanout, calls[0], Outcome::Rejected, 5);
+    assert!(others.len() >= 2, "{others:?}");
+    assert!(fanout.has_survivor());
+}
