serving: all instances share the trials of a request that ends leafs

Cause: the decision was each instance's own. A count in the store told the others that a request was suspect, but not that it was being tried; it was written without a condition; a trial without a clear end changed nothing. And evidence was looked for where the request itself had destroyed it: the leafs that were to show that the links work were those that the query had ended.

Change: Suspects (lib/src/coordination/serving/suspects.rs, without a network). One record for each suspect request in the store, changed only on the condition that it is still the one that is known. An attempt is sent only after the store has accepted one trial more: three in 10 min, with pauses of 5 s or 1 min and then 10 min, whatever becomes of them. Requests that leafs have survived within 30 s need two events in a row. Leafs of other services show that the links work, and an entry that goes within 4 s shows that its leaf has ended.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -1,28 +1,28 @@
 //! Requests that end the leafs that run them: finds them, and refuses them at all instances.
 //!
 //! A request without any surviving leaf, under which the connection to a leaf was lost that then
-//! refuses connections, has ended the leaf. The count of such attempts is written to the store, from
-//! which all instances read it. The next attempt has to be survived by one leaf before the others
-//! get it. If one does, the count starts anew: other callers may send the same request, and leafs end
-//! for other reasons, too. If none does, the request is refused from then on.
+//! refuses connections, has ended the leaf. What follows is decided by [`Suspects`]; this module
+//! finds out whether leafs have ended, and has the store accept trials.
+//!
+//! [`Suspects`]: camphorhold::coordination::serving::Suspects
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
-use camphorhold::coordination::poison;
-use camphorhold::coordination::poison::Admission;
-use camphorhold::coordination::poison::EXPIRY;
+use camphorhold::coordination::serving::fleet::LeafKey;
+use camphorhold::coordination::serving::fleet::Standing;
+use camphorhold::coordination::serving::suspects::Admission;
+use camphorhold::coordination::serving::suspects::TrialEnd;
+use camphorhold::coordination::serving::suspects::Write;
 use camphorhold::state::id::Fingerprint;
-use camphorhold_platform::key;
-use camphorhold_platform::store::Put;
+use camphorhold::state::plan::Target;
 use camphorhold_platform::store::Store;
 use camphorhold_platform::store::StoreError;
 use futures::future::join_all;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::call::ForwardedRequest;
+use crate::crash_records;
 use crate::gather::FinishedRequest;
 use crate::gather::Loss;
 use crate::probe;
@@ -32,215 +32,285 @@
 /// connections is not that of the network.
 const MAX_REFERENCES: usize = 3;
 
-/// How long a caller should wait while the canary of the same request runs.
-const CANARY_PAUSE: Duration = Duration::from_millis(250);
+/// The time within which the entry of a leaf goes that has ended: three of its check-in intervals,
+/// about a second each, and the time until the change is read.
+const ENTRY_LAPSE: Duration = Duration::from_secs(4);
 
-/// Pause before a failed write to the store is repeated.
-const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// How often the entries of lost leafs are looked up meanwhile.
+const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The count of a request, as stored in JSON.
-#[derive(Deserialize, Serialize)]
-struct Crashes {
-    // The attempts under which leafs have ended since a leaf has last survived the request.
-    attempts: u32,
-}
+/// How long a caller should wait while a trial of the same request runs.
+const TRIAL_PAUSE: Duration = Duration::from_millis(250);
 
-/// Applies the count of a request that is in the store.
-pub fn on_item(shared: &Shared, fingerprint: &str, value: Option<&[u8]>) {
-    let crashes = serde_json::from_slice::<Crashes>(value.unwrap_or_default());
-    match (fingerprint.parse::<Fingerprint>(), crashes) {
-        (Ok(fingerprint), Ok(crashes)) => {
-            log::info!(fingerprint:% = fingerprint, attempts = crashes.attempts; "count of attempts under which leafs ended read from the store");
-            let mut poison = shared.poison.borrow_mut();
-            if crashes.attempts == 0 {
-                poison.clear(fingerprint);
-            } else {
-                poison.merge(fingerprint, crashes.attempts, EXPIRY, shared.now());
-            }
-        }
-        (Err(error), _) => {
-            log::warn!(fingerprint = fingerprint, error:% = error; "invalid fingerprint in the store ignored");
-        }
-        (_, Err(error)) => {
-            log::warn!(fingerprint = fingerprint, error:% = error; "invalid count of ended leafs in the store ignored");
-        }
-    }
-}
+/// How long the store may take to accept a trial. While it is slow, it answers in about 400 ms.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How long the store has not answered when trials take place without it.
+const STORE_SILENCE: Duration = Duration::from_secs(10);
 
 /// One attempt of a request that may end leafs. Dropped before its end, it says nothing about the
 /// request.
-pub struct Trial {
+pub struct Attempt {
     shared: Rc<Shared>,
     forwarded: Rc<ForwardedRequest>,
-    // The fingerprint of a request that has ended leafs before.
-    canary: Option<Fingerprint>,
+    started: Instant,
+    trial: Option<Trial>,
 }
 
-/// Decides whether a request of a caller may be sent to leafs.
+/// The state of an attempt of a suspect request.
+#[derive(Clone, Copy, Debug)]
+enum Trial {
+    /// The store has been asked to accept it.
+    Claimed(Write),
+    /// It may be sent to a leaf.
+    Accepted(Fingerprint),
+}
+
+/// Decides whether a request of a caller that arrived at `started` may be sent to leafs.
 ///
 /// # Errors
 ///
-/// Returns the time after which the caller may send the request again, if it has ended too many
-/// leafs or another attempt is being tried on one leaf.
-pub fn admit(shared: &Rc<Shared>, forwarded: &Rc<ForwardedRequest>) -> Result<Trial, Duration> {
-    let trial = |canary| Trial {
+/// Returns the time after which the caller may send the request again, if it is suspect and not to
+/// be tried now.
+pub async fn admit(
+    shared: &Rc<Shared>,
+    forwarded: &Rc<ForwardedRequest>,
+    started: Instant,
+) -> Result<Attempt, Duration> {
+    let mut attempt = Attempt {
         shared: Rc::clone(shared),
         forwarded: Rc::clone(forwarded),
-        canary,
+        started,
+        trial: None,
     };
-    if shared.poison.borrow().is_empty() {
-        return Ok(trial(None));
+    if shared.suspects.borrow().is_empty() {
+        return Ok(attempt);
     }
     let fingerprint = forwarded.fingerprint();
-    let now = shared.now();
-    let admission = shared.poison.borrow_mut().admit_suspect(fingerprint, now);
+    let admit = || {
+        shared
+            .suspects
+            .borrow_mut()
+            .admit(fingerprint, shared.now())
+    };
+    let mut admission = admit();
+    if let Admission::Trial(write) = admission {
+        match attempt.claim(write).await {
+            Claim::Accepted => return Ok(attempt),
+            // The record read meanwhile may say that the request is no longer suspect.
+            Claim::RecordChanged => admission = admit(),
+            Claim::Unconfirmed => {}
+        }
+    }
     let (reason, pause) = match admission {
-        Admission::KnownGood => return Ok(trial(None)),
-        Admission::RunCanary => {
-            let attempts = shared.poison.borrow().crashes(fingerprint);
-            log::info!(request = forwarded.id(), fingerprint:% = fingerprint, attempts = attempts; "suspect request is tried on one leaf");
-            return Ok(trial(Some(fingerprint)));
+        Admission::Free => return Ok(attempt),
+        Admission::Trial(write) => {
+            shared.suspects.borrow_mut().on_write_failed(&write);
+            ("cannot be tried now", TRIAL_PAUSE)
+        }
+        Admission::TrialInProgress => ("is being tried", TRIAL_PAUSE),
+        Admission::Blocked { until } => {
+            let pause = until.saturating_duration_since(shared.now());
+            ("is blocked", pause)
         }
-        Admission::WaitForCanary | Admission::Full => ("is being tried", CANARY_PAUSE),
-        Admission::Blocked { until } => ("is blocked", until.saturating_duration_since(now)),
     };
     metrics::counter!("camphorhold_requests_total", "outcome" => "blocked").increment(1);
     log::info!(request = forwarded.id(), fingerprint:% = fingerprint, reason = reason; "request refused: leafs have ended under it");
     Err(pause)
 }
 
-impl Trial {
+/// Records that a leaf has survived a request.
+pub fn record_survival(shared: &Shared, forwarded: &ForwardedRequest) {
+    let mut suspects = shared.suspects.borrow_mut();
+    suspects.on_survived(forwarded.fingerprint(), shared.now());
+    if suspects.has_changes() {
+        shared.suspects_changed.notify_one();
+    }
+}
+
+impl Attempt {
     /// Returns whether a leaf has to survive the request before it is sent to another one.
-    pub fn is_canary(&self) -> bool {
-        self.canary.is_some()
+    pub fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Has the store accept a trial. Dropped before its end, the trial does not take place.
+    async fn claim(&mut self, write: Write) -> Claim {
+        let shared = Rc::clone(&self.shared);
+        self.trial = Some(Trial::Claimed(write));
+        let mut store = Store::new(shared.settings.store_address);
+        let claim = crash_records::write(&mut store, &shared, std::slice::from_ref(&write));
+        let result = tokio::time::timeout(CLAIM_TIMEOUT, claim).await;
+        self.trial = None;
+        let now = shared.now();
+        let silence = now.saturating_duration_since(shared.last_store_answer.get());
+        let mut suspects = shared.suspects.borrow_mut();
+        let claim = match result {
+            Ok(Ok(())) => Claim::Accepted,
+            Ok(Err(StoreError::Conflict(_))) => Claim::RecordChanged,
+            Ok(Err(_)) | Err(_) if silence >= STORE_SILENCE => {
+                suspects.on_unwritten_trial(&write, now);
+                Claim::Accepted
+            }
+            Ok(Err(_)) | Err(_) => {
+                suspects.on_write_failed(&write);
+                Claim::Unconfirmed
+            }
+        };
+        if claim == Claim::Accepted {
+            self.trial = Some(Trial::Accepted(write.fingerprint));
+            let record = suspects.record(write.fingerprint);
+            log::info!(request = self.forwarded.id(), fingerprint:% = write.fingerprint, attempts = record.attempts, trials = record.trials; "suspect request is tried on one leaf");
+        }
+        // Changes may have waited for the end of this write.
+        shared.suspects_changed.notify_one();
+        claim
     }
 
     /// Finds out, without delaying the answer, whether the request has ended leafs.
     pub fn end(mut self, finished: &FinishedRequest) {
         let Some(loss) = finished.loss.clone() else {
             if finished.lost_leafs > 0 {
-                self.log_dismissed(finished.lost_leafs, "a leaf has answered the request");
+                self.log_dismissed(finished.lost_leafs, "a leaf has survived the request");
             }
-            if finished.has_survivor
-                && let Some(fingerprint) = self.canary.take()
-            {
-                log::info!(request = self.forwarded.id(), fingerprint:% = fingerprint; "a leaf has survived the request; it is no longer suspect");
-                self.shared.poison.borrow_mut().clear(fingerprint);
-                self.write_count(fingerprint);
+            if finished.has_survivor {
+                self.record_survival();
             }
             return;
         };
         tokio::task::spawn_local(async move {
-            match ended_leafs(&self.shared, &loss).await {
-                Ok(()) => self.record_crash(),
-                Err(reason) => self.log_dismissed(loss.leafs.len(), reason),
+            let lost_leafs = loss.leafs.len();
+            match find_ended_leafs(&self.shared, &self.forwarded.route.target, loss).await {
+                Ok(()) => self.record_crash(lost_leafs),
+                Err(reason) => self.log_dismissed(lost_leafs, reason),
             }
         });
     }
 
     fn log_dismissed(&self, lost_leafs: usize, reason: &'static str) {
         metrics::counter!("camphorhold_dismissed_losses_total").increment(1);
-        log::info!(request = self.forwarded.id(), fingerprint:% = self.forwarded.fingerprint(), lost_leafs = lost_leafs, canary = self.is_canary(), reason = reason; "lost connections do not count against the request");
+        log::info!(request = self.forwarded.id(), fingerprint:% = self.forwarded.fingerprint(), lost_leafs = lost_leafs, trial = self.is_trial(), reason = reason; "lost connections do not count against the request");
     }
 
-    fn record_crash(&mut self) {
-        let canary = self.canary.take();
-        let fingerprint = canary.unwrap_or_else(|| self.forwarded.fingerprint());
+    fn record_survival(&mut self) {
+        let Some(Trial::Accepted(fingerprint)) = self.trial.take() else {
+            record_survival(&self.shared, &self.forwarded);
+            return;
+        };
+        log::info!(request = self.forwarded.id(), fingerprint:% = fingerprint; "a leaf has survived the request; it is no longer suspect");
+        let now = self.shared.now();
+        let mut suspects = self.shared.suspects.borrow_mut();
+        suspects.on_trial_end(fingerprint, TrialEnd::Survived, now);
+        self.shared.suspects_changed.notify_one();
+    }
+
+    fn record_crash(&mut self, lost_leafs: usize) {
+        let fingerprint = self.forwarded.fingerprint();
         let now = self.shared.now();
-        let mut poison = self.shared.poison.borrow_mut();
-        if canary.is_some() {
-            poison.canary_finished(fingerprint, poison::Outcome::Crashed, now);
+        let mut suspects = self.shared.suspects.borrow_mut();
+        let counts = if self.trial.take().is_some() {
+            suspects.on_trial_end(fingerprint, TrialEnd::Crashed, now);
+            true
         } else {
-            poison.crashed_unsuspected(fingerprint, now);
+            suspects.on_crash(fingerprint, self.started, now)
+        };
+        let record = suspects.record(fingerprint);
+        drop(suspects);
+        if !counts {
+            self.log_dismissed(lost_leafs, "leafs have survived the request recently");
+            return;
         }
-        let attempts = poison.crashes(fingerprint);
-        drop(poison);
         metrics::counter!("camphorhold_leaf_crashes_total").increment(1);
-        log::warn!(request = self.forwarded.id(), fingerprint:% = fingerprint, route = &*self.forwarded.route.name, attempts = attempts; "leafs ended under a request");
-        self.write_count(fingerprint);
-    }
-
-    /// Has the count of a request written to the store.
-    fn write_count(&self, fingerprint: Fingerprint) {
-        let mut unwritten = self.shared.unwritten_crashes.borrow_mut();
-        unwritten.insert(fingerprint);
-        self.shared.crash_recorded.notify_one();
+        log::warn!(request = self.forwarded.id(), fingerprint:% = fingerprint, route = &*self.forwarded.route.name, attempts = record.attempts, trials = record.trials; "leafs ended under a request");
+        self.shared.suspects_changed.notify_one();
     }
+}
 
-    fn finish_canary(&self, fingerprint: Fingerprint, outcome: poison::Outcome) {
-        let mut poison = self.shared.poison.borrow_mut();
-        poison.canary_finished(fingerprint, outcome, self.shared.now());
-    }
+/// The end of [`Attempt::claim`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Claim {
+    /// The trial takes place.
+    Accepted,
+    /// Another instance has changed the record. The new one is known now.
+    RecordChanged,
+    /// The store has not confirmed the trial.
+    Unconfirmed,
 }
 
-impl Drop for Trial {
+impl Drop for Attempt {
     fn drop(&mut self) {
-        if let Some(fingerprint) = self.canary.take() {
-            log::info!(request = self.forwarded.id(), fingerprint:% = fingerprint; "the trial of a suspect request has shown nothing");
-            self.finish_canary(fingerprint, poison::Outcome::Survived);
+        let mut suspects = self.shared.suspects.borrow_mut();
+        match self.trial.take() {
+            None => return,
+            Some(Trial::Claimed(write)) => suspects.on_write_failed(&write),
+            Some(Trial::Accepted(fingerprint)) => {
+                let sent = self.forwarded.sent.get();
+                log::info!(request = self.forwarded.id(), fingerprint:% = fingerprint, sent = sent; "the trial of a suspect request has shown nothing");
+                let end = if sent {
+                    TrialEnd::Unclear
+                } else {
+                    TrialEnd::NotSent
+                };
+                suspects.on_trial_end(fingerprint, end, self.shared.now());
+            }
         }
+        self.shared.suspects_changed.notify_one();
     }
 }
 
-/// Finds out whether one of the leafs that were lost is down, while another leaf accepts connections.
+/// Finds out whether one of the leafs that were lost has ended: it is down while leafs of other
+/// services accept connections, or its entry goes within [`ENTRY_LAPSE`]. A leaf that has started
+/// again, or that this instance cannot reach, shows by its entry only.
 ///
 /// # Errors
 ///
 /// Returns the reason for which the loss says nothing about the request.
-async fn ended_leafs(shared: &Shared, loss: &Loss) -> Result<(), &'static str> {
-    let references = shared
-        .fleet
-        .borrow()
-        .sample(&loss.called, MAX_REFERENCES, shared.jitter());
-    let lost_leafs = loss.leafs.iter();
+async fn find_ended_leafs(
+    shared: &Shared,
+    target: &Target,
+    loss: Loss,
+) -> Result<(), &'static str> {
+    // The connections to a leaf that is leaving end with it, whatever it runs.
+    let is_staying = |leaf: &LeafKey| {
+        let fleet = shared.fleet.borrow();
+        fleet
+            .get(*leaf)
+            .is_some_and(|leaf| leaf.entry().standing == Standing::Ready && !leaf.is_leaving())
+    };
+    let lost_leafs: Vec<LeafKey> = loss.leafs.iter().copied().filter(is_staying).collect();
+    if lost_leafs.is_empty() {
+        return Err("the leafs were leaving");
+    }
+    let services = services(target);
+    let references = shared.fleet.borrow().sample_of_others(
+        &services,
+        &loss.called,
+        MAX_REFERENCES,
+        shared.jitter(),
+    );
     let (responses, any_reference_accepts) = tokio::join!(
-        join_all(lost_leafs.map(|leaf| probe::connect(shared, *leaf))),
+        join_all(lost_leafs.iter().map(|leaf| probe::connect(shared, *leaf))),
         probe::any_accepts_connections(shared, &references)
     );
-    if !responses.contains(&probe::Response::Down) {
-        Err("none of the leafs is down")
-    } else if !any_reference_accepts {
-        Err("no other leaf accepts connections")
-    } else {
-        Ok(())
+    if responses.contains(&probe::Response::Down) && any_reference_accepts {
+        return Ok(());
     }
-}
-
-/// Writes the counts of requests that have ended leafs to the store, until the process ends.
-pub async fn run(shared: Rc<Shared>) {
-    let mut store = Store::new(shared.settings.store_address);
-    loop {
-        shared.crash_recorded.notified().await;
-        loop {
-            let unwritten: HashSet<Fingerprint> = shared.unwritten_crashes.take();
-            if unwritten.is_empty() {
-                break;
-            }
-            for fingerprint in unwritten {
-                if let Err(error) = write(&mut store, &shared, fingerprint).await {
-                    log::warn!(fingerprint:% = fingerprint, error:% = error; "cannot write that leafs ended under a request; retrying");
-                    shared.unwritten_crashes.borrow_mut().insert(fingerprint);
-                }
-            }
-            if !shared.unwritten_crashes.borrow().is_empty() {
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+    let lapses_by = shared.now() + ENTRY_LAPSE;
+    while shared.now() < lapses_by {
+        tokio::time::sleep(ENTRY_CHECK_INTERVAL).await;
+        let fleet = shared.fleet.borrow();
+        if lost_leafs.iter().any(|leaf| fleet.get(*leaf).is_none()) {
+            return Ok(());
         }
     }
+    Err("the leafs are registered still")
 }
 
-async fn write(
-    store: &mut Store,
-    shared: &Shared,
-    fingerprint: Fingerprint,
-) -> Result<(), StoreError> {
-    let attempts = shared.poison.borrow().crashes(fingerprint);
-    let value = serde_json::to_vec(&Crashes { attempts })?;
-    let lease = store.grant(EXPIRY).await?;
-    let put = Put {
-        key: &key::crashes(fingerprint),
-        value: &value,
-        lease: Some(lease.id),
-    };
-    store.put(put).await
+/// Returns the services that requests with this target call.
+fn services(target: &Target) -> Vec<&str> {
+    match target {
+        Target::Service(service) => vec![service],
+        Target::Split(shares) => shares.iter().map(|share| &*share.service).collect(),
+        Target::Shards(scope) => scope.shards.iter().map(|shard| &**shard).collect(),
+    }
 }
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod crash_records;
 mod crashes;
 mod exposition;
 mod follower;
--- a/instance/src/mirror.rs
+++ b/instance/src/mirror.rs
@@ -17,7 +17,7 @@
 use camphorhold_platform::store::Item;
 use camphorhold_platform::store::Listing;
 
-use crate::crashes;
+use crate::crash_records;
 use crate::registration;
 use crate::shared::Phase;
 use crate::shared::Shared;
@@ -96,6 +96,7 @@
         self.passed_over.clear();
         self.restore = Some(Restore::Noticed);
         self.shared.fleet.borrow_mut().on_store_restored();
+        self.shared.suspects.borrow_mut().on_restored();
     }
 
     /// Returns when [`Self::on_timer`] has to be called next.
@@ -230,7 +231,9 @@
             }
             Key::Evacuation(domain) => self.on_evacuation(domain, true),
             Key::Instance(name) => self.on_instance(name, value),
-            Key::Crashes(fingerprint) => crashes::on_item(&self.shared, fingerprint, value),
+            Key::Crashes(fingerprint) => {
+                crash_records::on_item(&self.shared, fingerprint, value, item.revision);
+            }
             Key::RolloutSpec(service) => self.on_rollout(service, value),
             Key::RolloutStatus(_) | Key::Other => {}
         }
@@ -259,8 +262,8 @@
                     .borrow_mut()
                     .set_excluded_version(service, None);
             }
-            // Counts expire by themselves.
-            Key::Configuration | Key::Crashes(_) | Key::RolloutStatus(_) | Key::Other => {}
+            Key::Crashes(fingerprint) => crash_records::on_removed(&self.shared, fingerprint),
+            Key::Configuration | Key::RolloutStatus(_) | Key::Other => {}
         }
     }
 
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
-use crate::crashes;
+use crate::crash_records;
 use crate::exposition;
 use crate::follower::Follower;
 use crate::mirror::Mirror;
@@ -129,7 +129,9 @@
     let state = Rc::clone(&shared);
     spawn("tokens", move || tokens::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
-    spawn("crashes", move || crashes::run(Rc::clone(&state)));
+    spawn("crash records", move || {
+        crash_records::run(Rc::clone(&state))
+    });
     let state = Rc::clone(&shared);
     spawn("probe", move || probe::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
--- a/instance/src/registration.rs
+++ b/instance/src/registration.rs
@@ -93,11 +93,12 @@
     })?;
     let lease = store.grant(LIFETIME).await?;
     store
-        .put(Put {
+        .put(&[Put {
             key,
             value: &value,
             lease: Some(lease.id),
-        })
+            expected: None,
+        }])
         .await?;
     Ok(lease)
 }
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -239,6 +239,9 @@
         HandoverRole::Coordinator => assign_to_owners(&shared, &mut request),
     };
     let end = gather::run(&shared, &forwarded, request, query, groups).await;
+    if end.has_survivor {
+        crashes::record_survival(&shared, &forwarded);
+    }
     end.respond_to_instance(&shared, &plan, &forwarded, origin, &handover_request)
 }
 
@@ -254,18 +257,18 @@
     if let Err(pause) = skip_unavailable_shards(shared, forwarded, &mut request, wait) {
         return refuse(pause);
     }
-    let trial = match crashes::admit(shared, forwarded) {
-        Ok(trial) => trial,
+    let attempt = match crashes::admit(shared, forwarded, origin.arrived).await {
+        Ok(attempt) => attempt,
         Err(pause) => return refuse(pause),
     };
-    request.is_suspect = trial.is_canary();
+    request.is_suspect = attempt.is_trial();
     let groups = if request.is_suspect {
         Vec::new()
     } else {
         assign_handovers(shared, &forwarded.route, &mut request)
     };
     let end = gather::run(shared, forwarded, request, query, groups).await;
-    trial.end(&end);
+    attempt.end(&end);
     if origin.source == Source::Caller
         && !forwarded.sent.get()
         && shared.reachability.borrow().is_cut_off()
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -3,24 +3,22 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use camphorhold::coordination::hedge::Delay;
-use camphorhold::coordination::poison;
 use camphorhold::coordination::serving::ConcurrencyLimits;
 use camphorhold::coordination::serving::Fleet;
 use camphorhold::coordination::serving::Instances;
 use camphorhold::coordination::serving::RetryBudgets;
+use camphorhold::coordination::serving::Suspects;
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::LeafLimits;
 use camphorhold::coordination::serving::rate_limit::Grantor;
 use camphorhold::coordination::serving::reachability::Reachability;
 use camphorhold::coordination::serving::split::Split;
-use camphorhold::state::id::Fingerprint;
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Route;
 use camphorhold::state::time::Clock;
@@ -57,8 +55,12 @@
 /// need a few MB at a time.
 const READ_MEMORY_DIVISOR: usize = 8;
 
-/// How many requests that have ended leafs are remembered.
-const MAX_POISON: usize = 1_000;
+/// How many suspect requests are remembered.
+const MAX_SUSPECTS: usize = 1_000;
+
+/// How many requests that leafs have survived are remembered at least. Enough for the last half
+/// minute at a hundred requests a second.
+const MIN_SURVIVALS: usize = 4_096;
 
 /// Measurements of the requests of one route.
 #[derive(Debug)]
@@ -109,12 +111,13 @@
     pub reachability: RefCell<Reachability>,
     /// Wakes the task that probes leafs, when several accept no connection.
     pub leafs_unreachable: Notify,
-    /// The requests that have ended leafs, as far as this instance has seen or read in the store.
-    pub poison: RefCell<poison::Registry>,
-    /// The requests whose count of ended leafs has to be written to the store.
-    pub unwritten_crashes: RefCell<HashSet<Fingerprint>>,
-    /// Wakes the task that writes them.
-    pub crash_recorded: Notify,
+    /// The requests under which leafs have ended, as far as this instance has seen or read in the
+    /// store.
+    pub suspects: RefCell<Suspects>,
+    /// Wakes the task that writes their records to the store.
+    pub suspects_changed: Notify,
+    /// The lease with which these records expire, and when it was granted.
+    pub suspects_lease: Cell<Option<(u64, Instant)>>,
     /// The memory for answers of leafs and instances that are being read.
     pub read_budget: ReadBudget,
     /// Idle connections to leafs.
@@ -169,9 +172,9 @@
             limit_named: Notify::new(),
             reachability: RefCell::default(),
             leafs_unreachable: Notify::new(),
-            poison: RefCell::new(poison::Registry::new(MAX_POISON)),
-            unwritten_crashes: RefCell::default(),
-            crash_recorded: Notify::new(),
+            suspects: RefCell::new(Suspects::new(MAX_SUSPECTS, MIN_SURVIVALS)),
+            suspects_changed: Notify::new(),
+            suspects_lease: Cell::new(None),
             read_budget: ReadBudget::new(read_bytes),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
--- a/instance/tests/poison.rs
+++ b/instance/tests/poison.rs
@@ -291,3 +291,98 @@
         }
     }
 }
+
+/// Guards against a popular request that is refused because leafs end under it again and again, and
+/// instances start again meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_popular_request_is_answered_while_leafs_end_again_and_again() {
+    let platform = Platform::start(&[("s1", "a"); 6]).await;
+    let mut instances = start_instances(&platform).await;
+    for leaf in &platform.leafs {
+        leaf.set_behaviour(Behaviour::Slow(Duration::from_millis(60)));
+    }
+    let mut refused = 0;
+    let mut answered = 0;
+    for round in 0..12 {
+        if round % 4 == 3 {
+            instances[0].kill();
+            instances[0].restart().await;
+        }
+        let callers = instances.iter().flat_map(|instance| {
+            (0..3).map(move |caller| async move {
+                let mut statuses = Vec::new();
+                for attempt in 0..12 {
+                    let id = format!("r{round}-{caller}-{attempt}");
+                    let answer = instance.send(&id, "/once/x").await.expect("an answer");
+                    statuses.push(answer.status());
+                }
+                statuses
+            })
+        });
+        let crash = async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            platform.leafs[round % 6].crash();
+        };
+        let (statuses, ()) = tokio::join!(join_all(callers), crash);
+        let count = |wanted: StatusCode| {
+            let statuses = statuses.iter().flatten();
+            statuses.filter(|status| **status == wanted).count()
+        };
+        refused += count(StatusCode::SERVICE_UNAVAILABLE);
+        answered += count(StatusCode::OK);
+    }
+    assert!(
+        refused * 20 <= answered,
+        "{refused} refused, {answered} answered"
+    );
+}
+
+/// Guards against owners of shards that each try a suspect query.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_with_owners_try_a_suspect_query_a_few_times() {
+    const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
+    let leafs: Vec<(&str, &str)> = SHARDS
+        .iter()
+        .flat_map(|shard| [(*shard, "b"), (*shard, "c")])
+        .collect();
+    let platform = Platform::start(&leafs).await;
+    platform.configure_with_scarce_connections(2, &SHARDS);
+    let mut instances = Vec::new();
+    for (name, domain) in [("1", "a"), ("2", "b"), ("3", "b"), ("4", "c")] {
+        instances.push(Instance::start(&platform, name, domain).await);
+    }
+    for instance in &instances {
+        let answer = instance.send("good", "/all/good").await.unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    for leaf in &platform.leafs {
+        leaf.set_poison(Some("/all/bad"));
+    }
+    send_to_all(&instances, "first", "/all/bad").await;
+    assert_eq!(
+        platform.leafs.iter().filter(|leaf| leaf.ends() > 0).count(),
+        8
+    );
+    // No other leaf is left that could show that the links work, but the entries lapse.
+    for leaf in &platform.leafs {
+        platform.store.remove(&leaf.key());
+    }
+    tokio::time::sleep(CONTACT_TIME).await;
+    for leaf in &platform.leafs {
+        platform.store.put(&leaf.key(), &leaf.entry("ready"));
+    }
+    wait_until("the leafs are used again", || async {
+        let answer = instances[0].send("good", "/all/good").await.unwrap();
+        answer.status() == StatusCode::OK
+    })
+    .await;
+    let first = attempts(&platform, "/all/bad").len();
+    for round in 0..6 {
+        send_to_all(&instances, &format!("round-{round}"), "/all/bad").await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    let further = attempts(&platform, "/all/bad").len() - first;
+    assert!(further <= FURTHER_RUNS, "{further} more attempts");
+    let answer = instances[0].send("good", "/all/good").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+}
--- a/lib/src/coordination/poison.rs
+++ b/lib/src/coordination/poison.rs
@@ -132,21 +132,6 @@
         }
     }
 
-    /// Decides as [`Self::admit`] does, but a fingerprint that is not known to have crashed a server
-    /// runs without a canary.
-    pub fn admit_suspect(&mut self, fingerprint: Fingerprint, now: Instant) -> Admission {
-        if self.crashes(fingerprint) == 0 {
-            return Admission::KnownGood;
-        }
-        self.admit(fingerprint, now)
-    }
-
-    /// Returns whether no fingerprint has crashed a server.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
-    }
-
     /// Returns the crash count. A canary after a crash must not be hedged, because two more servers
     /// could crash and exceed [`CRASH_LIMIT`].
     #[must_use]
@@ -176,12 +161,6 @@
         }
     }
 
-    /// Forgets the crashes of a fingerprint: a server has survived it, where a harmful request ends
-    /// every server that runs it.
-    pub fn clear(&mut self, fingerprint: Fingerprint) {
-        self.suspects.remove(&fingerprint);
-    }
-
     /// Counts a crash during a request that was not a canary.
     pub fn crashed(&mut self, fingerprint: Fingerprint, now: Instant) {
         self.good.remove(fingerprint);
@@ -190,15 +169,6 @@
         }
     }
 
-    /// Counts a crash during a request that was admitted before any crash of its fingerprint was
-    /// known. All of these count as one: they may have seen the end of the same server, and requests
-    /// that many callers send are in progress whenever a server ends.
-    pub fn crashed_unsuspected(&mut self, fingerprint: Fingerprint, now: Instant) {
-        if self.crashes(fingerprint) == 0 {
-            self.crashed(fingerprint, now);
-        }
-    }
-
     /// Merges a crash count of another instance that expires after `remaining`. Keeps the larger
     /// count and the later expiry.
     pub fn merge(
--- a/lib/src/coordination/serving/fleet/sample.rs
+++ b/lib/src/coordination/serving/fleet/sample.rs
@@ -1,6 +1,7 @@
 //! Samples of all leafs, for probes.
 
 use super::Fleet;
+use super::Leaf;
 use super::LeafKey;
 
 impl Fleet {
@@ -8,10 +9,37 @@
     /// which.
     #[must_use]
     pub fn sample(&self, avoid: &[LeafKey], count: usize, jitter: f32) -> Vec<LeafKey> {
+        self.sample_where(|key, _| !avoid.contains(&key), count, jitter)
+    }
+
+    /// Returns up to `count` leafs of other services than those; leafs of any service that are not in
+    /// `avoid` if there are no others.
+    #[must_use]
+    pub fn sample_of_others(
+        &self,
+        services: &[&str],
+        avoid: &[LeafKey],
+        count: usize,
+        jitter: f32,
+    ) -> Vec<LeafKey> {
+        let is_other = |_, leaf: &Leaf| !services.contains(&&*leaf.entry().service);
+        let others = self.sample_where(is_other, count, jitter);
+        if others.is_empty() {
+            self.sample(avoid, count, jitter)
+        } else {
+            others
+        }
+    }
+
+    fn sample_where<F>(&self, is_wanted: F, count: usize, jitter: f32) -> Vec<LeafKey>
+    where
+        F: Fn(LeafKey, &Leaf) -> bool,
+    {
         let others: Vec<LeafKey> = self
             .leafs
-            .keys()
-            .filter(|key| !avoid.contains(key))
+            .iter()
+            .filter(|(key, leaf)| is_wanted(*key, leaf))
+            .map(|(key, _)| key)
             .collect();
         let count = count.min(others.len());
         #[expect(
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -14,6 +14,7 @@
 pub mod retry_budget;
 pub mod shutdown;
 pub mod split;
+pub mod suspects;
 pub mod watch;
 
 pub use self::concurrency_limit::ConcurrencyLimits;
@@ -21,3 +22,4 @@
 pub use self::fleet::Fleet;
 pub use self::instances::Instances;
 pub use self::retry_budget::RetryBudgets;
+pub use self::suspects::Suspects;
--- a/lib/tests/serving_crash_guard.rs
+++ b/lib/tests/serving_crash_guard.rs
@@ -5,9 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use camphorhold::coordination::poison::Admission;
-use camphorhold::coordination::poison::EXPIRY;
-use camphorhold::coordination::poison::Registry;
 use camphorhold::coordination::serving::ConcurrencyLimits;
 use camphorhold::coordination::serving::Fanout;
 use camphorhold::coordination::serving::Fleet;
@@ -21,7 +18,6 @@
 use camphorhold::coordination::serving::fanout::ShardAssignment;
 use camphorhold::coordination::serving::fanout::Verdict;
 use camphorhold::coordination::serving::retry_budget::Bound;
-use camphorhold::state::id::Fingerprint;
 use camphorhold::state::plan::CallSemantics;
 use serving_support::AMPLE_LIMITS;
 use serving_support::fleet;
@@ -201,30 +197,6 @@
     assert_eq!(again.len(), 1);
 }
 
-/// Guards against requests that wait for a canary although nothing is known against them, and
-/// against harmful ones that are admitted without one.
-#[test]
-fn only_requests_that_have_ended_leafs_need_a_canary() {
-    let now = Instant::now();
-    let mut registry = Registry::new(10);
-    let (harmless, harmful) = (Fingerprint(1), Fingerprint(2));
-    assert_eq!(registry.admit_suspect(harmless, now), Admission::KnownGood);
-    registry.crashed(harmful, now);
-    assert_eq!(registry.admit_suspect(harmless, now), Admission::KnownGood);
-    assert_eq!(registry.admit_suspect(harmful, now), Admission::RunCanary);
-    assert_eq!(
-        registry.admit_suspect(harmful, now),
-        Admission::WaitForCanary
-    );
-    registry.merge(harmful, 2, EXPIRY, now);
-    assert_eq!(
-        registry.admit_suspect(harmful, now),
-        Admission::Blocked {
-            until: now + EXPIRY
-        }
-    );
-}
-
 /// Guards against a leaf's error that ends the caution: the leaf may not have run the request.
 #[test]
 fn an_error_of_a_leaf_shows_nothing_about_a_suspect_request() {
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -478,13 +478,19 @@
     };
     let rows = |name: &str| change[name].as_array().cloned().unwrap_or_default();
     let mut state = shared.lock();
-    let revisions_match = rows("expected").iter().all(|row| {
+    let expected = rows("expected");
+    let revisions_match = expected.iter().all(|row| {
         let key = row["key"].as_str().unwrap_or_default();
         let revision = state.items.get(key).map_or(0, |item| item.revision);
         row["revision"].as_u64() == Some(revision)
     });
     if !revisions_match {
-        return (StatusCode::PRECONDITION_FAILED, json!({"items": []}));
+        let items = expected.iter().filter_map(|row| {
+            let key = row["key"].as_str()?;
+            Some(encode(key, state.items.get(key)?))
+        });
+        let items: Vec<Value> = items.collect();
+        return (StatusCode::PRECONDITION_FAILED, json!({"items": items}));
     }
     let leases: Vec<u64> = rows("puts")
         .iter()
