instance: tell all instances of a leaf that limits its requests

Cause: each instance calls the leaf once before it knows. Ruled out: tokens beyond the limit; no instance calls twice within the window.

Change: at the first claim for a leaf, its grantor sends all other instances a notice, on the path of claims. Releases without notices ignore the field and answer as to an empty claim.

instances_that_have_not_called_a_limited_leaf_keep_to_its_limit failed before (7 requests, 5 allowed) and passes. A process that starts later is told by its own first call, as before.

--- a/instance/src/tokens.rs
+++ b/instance/src/tokens.rs
@@ -17,9 +17,11 @@
 use camphorhold::coordination::serving::rate_limit::CLAIM_INTERVAL;
 use camphorhold::coordination::serving::rate_limit::Claim;
 use camphorhold::coordination::serving::rate_limit::LEASE_LIFETIME;
+use camphorhold::coordination::serving::rate_limit::Notice;
 use camphorhold::state::rate::InvalidRate;
 use camphorhold::transport::body;
 use camphorhold::transport::http;
+use futures::StreamExt;
 use futures::future::join_all;
 use http_body_util::Full;
 use hyper::Method;
@@ -60,12 +62,56 @@
 /// The most leafs in one request to a grantor.
 const MAX_CLAIMS: usize = 256;
 
-/// The claims of one instance.
+/// The most notices that are on their way at a time.
+const MAX_PARALLEL_NOTICES: usize = 8;
+
+/// The claims of one instance, or its notices.
 #[derive(Debug, Deserialize, Serialize)]
 struct WireClaims {
     // The name of the claiming instance.
     claimant: Box<str>,
     claims: Vec<WireClaim>,
+    // Earlier releases ignore it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    notices: Vec<WireNotice>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct WireNotice {
+    leaf: Box<str>,
+    // In requests per second.
+    limit: f64,
+    // How long ago the leaf last named it.
+    heard_ms_ago: u64,
+}
+
+impl WireNotice {
+    fn new(notice: &Notice, now: Instant) -> Self {
+        Self {
+            leaf: notice.leaf.clone(),
+            limit: notice.limit.per_second(),
+            heard_ms_ago: millis_since(notice.heard_at, now),
+        }
+    }
+
+    fn into_notice(self, now: Instant) -> Result<Notice, InvalidRate> {
+        Ok(Notice {
+            leaf: self.leaf,
+            limit: self.limit.try_into()?,
+            heard_at: before(now, self.heard_ms_ago),
+        })
+    }
+}
+
+fn millis_since(time: Instant, now: Instant) -> u64 {
+    let age = now.saturating_duration_since(time);
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the time that many milliseconds before `now`; `now` if that is out of range.
+fn before(now: Instant, millis: u64) -> Instant {
+    let age = Duration::from_millis(millis);
+    now.checked_sub(age).unwrap_or(now)
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -88,24 +134,22 @@
 
 impl WireClaim {
     fn new(claim: &Claim, now: Instant) -> Self {
-        let age = now.saturating_duration_since(claim.heard_at);
         Self {
             leaf: claim.leaf.clone(),
             domain: claim.domain.clone(),
             limit: claim.limit.per_second(),
-            heard_ms_ago: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            heard_ms_ago: millis_since(claim.heard_at, now),
             wanted: claim.wanted,
             returned: claim.returned,
         }
     }
 
     fn into_claim(self, now: Instant) -> Result<Claim, InvalidRate> {
-        let age = Duration::from_millis(self.heard_ms_ago);
         Ok(Claim {
             leaf: self.leaf,
             domain: self.domain,
             limit: self.limit.try_into()?,
-            heard_at: now.checked_sub(age).unwrap_or(now),
+            heard_at: before(now, self.heard_ms_ago),
             wanted: self.wanted,
             returned: self.returned,
         })
@@ -248,47 +292,102 @@
         claims: &[(LeafKey, Claim)],
     ) -> Result<Vec<u32>, ClaimError> {
         let now = self.shared.now();
-        let body = serde_json::to_vec(&WireClaims {
+        let claims = claims.iter().map(|(_, claim)| WireClaim::new(claim, now));
+        let message = WireClaims {
             claimant: self.shared.settings.name.clone(),
-            claims: claims
-                .iter()
-                .map(|(_, claim)| WireClaim::new(claim, now))
-                .collect(),
-        })?;
-        let mut request = Request::new(Full::new(Bytes::from(body)));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = hyper::Uri::from_static(PATH);
-        let headers = request.headers_mut();
-        headers.insert(HEADER, HeaderValue::from_static("1"));
-        if let Ok(host) = address.to_string().parse() {
-            headers.insert(HOST, host);
-        }
-        let mut connection = peer::connect(&self.shared, address).await?;
-        let answer = connection.exchange(request, MAX_BODY_BYTES).await?;
-        peer::keep(&self.shared, address, connection);
-        if answer.status() != StatusCode::OK {
-            return Err(ClaimError::Refused(answer.status()));
-        }
-        let grants: WireGrants = serde_json::from_slice(answer.body())?;
-        Ok(grants.granted)
+            claims: claims.collect(),
+            notices: Vec::new(),
+        };
+        Ok(send(&self.shared, address, &message).await?.granted)
     }
 }
 
+/// Sends claims or notices to an instance.
+async fn send(
+    shared: &Shared,
+    address: SocketAddr,
+    message: &WireClaims,
+) -> Result<WireGrants, ClaimError> {
+    let body = serde_json::to_vec(message)?;
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = hyper::Uri::from_static(PATH);
+    let headers = request.headers_mut();
+    headers.insert(HEADER, HeaderValue::from_static("1"));
+    if let Ok(host) = address.to_string().parse() {
+        headers.insert(HOST, host);
+    }
+    let mut connection = peer::connect(shared, address).await?;
+    let answer = connection.exchange(request, MAX_BODY_BYTES).await?;
+    peer::keep(shared, address, connection);
+    if answer.status() != StatusCode::OK {
+        return Err(ClaimError::Refused(answer.status()));
+    }
+    Ok(serde_json::from_slice(answer.body())?)
+}
+
 fn count(outcome: &'static str) {
     metrics::counter!("camphorhold_token_claims_total", "outcome" => outcome).increment(1);
 }
 
-/// Grants tokens for a claim of the instance `claimant`.
-fn grant(shared: &Shared, claimant: &str, claim: &Claim) -> u32 {
+/// Grants tokens for a claim of the instance `claimant`. Sends notices of a leaf that had no claim
+/// before.
+fn grant(shared: &Rc<Shared>, claimant: &str, claim: &Claim) -> u32 {
     let instances = shared.instances.borrow();
     let precedence = instances.grantor_precedence(&claim.leaf, &claim.domain);
     let mut grantor = shared.grantor.borrow_mut();
-    grantor.grant(claimant, claim, precedence, shared.now())
+    let tokens = grantor.grant(claimant, claim, precedence, shared.now());
+    let notices = grantor.take_notices();
+    if !notices.is_empty() {
+        tokio::task::spawn_local(announce(Rc::clone(shared), notices));
+    }
+    tokens
+}
+
+/// Tells all instances, this one included, which leafs limit their requests.
+async fn announce(shared: Rc<Shared>, notices: Vec<Notice>) {
+    let now = shared.now();
+    let message = WireClaims {
+        claimant: shared.settings.name.clone(),
+        claims: Vec::new(),
+        notices: notices
+            .iter()
+            .map(|notice| WireNotice::new(notice, now))
+            .collect(),
+    };
+    for notice in &notices {
+        on_notice(&shared, notice);
+    }
+    let others: Vec<SocketAddr> = shared.instances.borrow().others().collect();
+    let sent = futures::stream::iter(others)
+        .map(|address| tokio::time::timeout(TIMEOUT, send(&shared, address, &message)))
+        .buffer_unordered(MAX_PARALLEL_NOTICES);
+    let failed = sent
+        .filter(|result| std::future::ready(!matches!(result, Ok(Ok(_)))))
+        .count()
+        .await;
+    if failed > 0 {
+        // These instances hear of the limit when they call the leaf.
+        log::info!(failed = failed, leafs = notices.len(); "instances did not take notices of limited leafs");
+    }
+}
+
+/// Applies that a leaf limits its requests, unless this instance has heard from the leaf later.
+fn on_notice(shared: &Shared, notice: &Notice) {
+    let mut fleet = shared.fleet.borrow_mut();
+    let Some(leaf) = fleet.find(&notice.leaf) else {
+        return;
+    };
+    let change = fleet.on_limit(leaf, Some(notice.limit), notice.heard_at, shared.now());
+    if change.is_some() {
+        shared.limit_named.notify_one();
+        log::info!(leaf = &*notice.leaf, limit = notice.limit.per_second(); "another instance says that the leaf limits its requests");
+    }
 }
 
 /// Answers a claim of another instance: 200 with the granted tokens, 400 for a body that is no
 /// claim, 409 while this instance is starting or stopping, so that the next one is asked.
-pub async fn serve(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
+pub async fn serve(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     if shared.phase.get() != Phase::Serving {
         return empty_response(StatusCode::CONFLICT);
     }
@@ -306,6 +405,12 @@
         }
     };
     let now = shared.now();
+    for wire in claims.notices.into_iter().take(MAX_CLAIMS) {
+        match wire.into_notice(now) {
+            Ok(notice) => on_notice(shared, &notice),
+            Err(error) => log::info!(error:% = error; "invalid notice of a limited leaf ignored"),
+        }
+    }
     let granted = claims.claims.into_iter().map(|wire| {
         // A claim with an impossible limit gets nothing.
         let claim = wire.into_claim(now);
--- a/instance/tests/limits.rs
+++ b/instance/tests/limits.rs
@@ -78,6 +78,24 @@
     assert!(busiest > 0, "the leaf is not used at all");
 }
 
+/// Guards against a leaf that many instances call once each before they know that it wants no calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_that_have_not_called_a_limited_leaf_keep_to_its_limit() {
+    const INSTANCES: u32 = 14;
+    let platform = Platform::start(&[("s1", "a"), ("s1", "a")]).await;
+    let mut instances = Vec::new();
+    for name in 1..=INSTANCES {
+        instances.push(Instance::start(&platform, &name.to_string(), "a").await);
+    }
+    platform.leafs[0].set_limit(Some(0.0));
+    send_load(&instances[..1], 20).await;
+    tokio::time::sleep(REACTION_TIME).await;
+    let since = SystemClock.now();
+    send_load(&instances, 6 * INSTANCES).await;
+    let busiest = busiest_window(&platform.leafs[0].runs(), since);
+    assert!(busiest <= 5, "{busiest} requests, 5 allowed");
+}
+
 /// Guards against an instance that ends, or grants tokens, because of a claim that is none.
 #[tokio::test(flavor = "multi_thread")]
 async fn malformed_claims_are_refused() {
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -372,6 +372,15 @@
             .map(|(name, location, _)| (&**name, location.address))
     }
 
+    /// Iterates over the addresses of the other instances.
+    pub fn others(&self) -> impl Iterator<Item = SocketAddr> {
+        let registered = self
+            .by_name
+            .iter()
+            .filter(|(name, instance)| instance.removed_at.is_none() && **name != self.own_name);
+        registered.filter_map(|(_, instance)| Some(instance.location.as_ref()?.address))
+    }
+
     /// Returns whether this instance is the first choice as the grantor of a leaf's tokens, or
     /// replaces another one.
     #[must_use]
--- a/lib/src/coordination/serving/rate_limit.rs
+++ b/lib/src/coordination/serving/rate_limit.rs
@@ -5,7 +5,8 @@
 //! rate of the limit. The others claim them in advance, every [`CLAIM_INTERVAL`], by the requests
 //! that they have, and return what they did not use. Tokens expire after [`LEASE_LIFETIME`], so the
 //! requests in any span follow from the tokens that were created in it and shortly before,
-//! whichever instances start, stop or fall silent.
+//! whichever instances start, stop or fall silent. The grantor sends the other instances a notice
+//! at the first claim, so that they do not each call the leaf once before they know.
 //!
 //! A grantor that is not the first choice grants only a part of the limit: the one that it replaces
 //! may still grant tokens to other instances.
@@ -52,6 +53,17 @@
     pub returned: u32,
 }
 
+/// Tells an instance that a leaf limits its requests, before it has called the leaf itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Notice {
+    /// The leaf's id.
+    pub leaf: Box<str>,
+    /// The limit that the leaf names.
+    pub limit: RequestRate,
+    /// When an instance last received an answer with the limit.
+    pub heard_at: Instant,
+}
+
 /// Returns how many tokens to claim for that many requests per second.
 #[must_use]
 pub fn wanted_tokens(requests_per_second: f64) -> u32 {
--- a/lib/src/coordination/serving/rate_limit/grantor.rs
+++ b/lib/src/coordination/serving/rate_limit/grantor.rs
@@ -6,6 +6,7 @@
 
 use super::CLAIM_INTERVAL;
 use super::Claim;
+use super::Notice;
 use crate::state::rate::RequestRate;
 
 /// The most unclaimed tokens, as the time in which they are created; at least one token.
@@ -54,6 +55,7 @@
     filled_at: Instant,
     // The tokens that each instance last wanted, and when.
     wanted: HashMap<Box<str>, (u32, Instant)>,
+    is_announced: bool,
 }
 
 impl Bucket {
@@ -64,6 +66,7 @@
             tokens: 0.0,
             filled_at: now,
             wanted: HashMap::new(),
+            is_announced: false,
         }
     }
 
@@ -127,4 +130,20 @@
             .or_insert_with(|| Bucket::new(claim, now))
             .grant(claimant, claim, precedence.share(), now)
     }
+
+    /// Returns the leafs that have got their first claim since the last call. The other instances may
+    /// not know yet that these limit their requests.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        self.buckets
+            .iter_mut()
+            .filter_map(|(leaf, bucket)| {
+                let is_new = !std::mem::replace(&mut bucket.is_announced, true);
+                is_new.then(|| Notice {
+                    leaf: leaf.clone(),
+                    limit: bucket.limit,
+                    heard_at: bucket.heard_at,
+                })
+            })
+            .collect()
+    }
 }
