relay: ask another instance when the first one falls silent

Cause: one wait until the deadline for one instance, whose silence says the same as a slow leaf.

Change: an answer that takes longer than 80 ms is followed by an empty claim over a new connection. An instance that lives answers or refuses it, in any release; if nothing comes within 120 ms, another instance is asked, if the request may be repeated and the retry budgets have room. A fixed time-out or a hedge for every relayed request were ruled out: a leaf's work of 160 ms is common, and each would run twice.

a_request_relayed_to_a_silent_instance_is_answered_by_another_one failed before (504 for the first request) and passes: 30 of 30 answered.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -281,7 +281,7 @@
     if lost_leafs.is_empty() {
         return Err("the leafs were leaving");
     }
-    let services = services(target);
+    let services = target.services();
     let references = shared.fleet.borrow().sample_of_others(
         &services,
         &loss.called,
@@ -305,12 +305,3 @@
     }
     Err("the leafs are registered still")
 }
-
-/// Returns the services that requests with this target call.
-fn services(target: &Target) -> Vec<&str> {
-    match target {
-        Target::Service(service) => vec![service],
-        Target::Split(shares) => shares.iter().map(|share| &*share.service).collect(),
-        Target::Shards(scope) => scope.shards.iter().map(|shard| &**shard).collect(),
-    }
-}
--- a/instance/src/relay.rs
+++ b/instance/src/relay.rs
@@ -3,7 +3,8 @@
 //! A relayed request is the caller's, with a header that names the version of the configuration. The
 //! other instance handles it like one of its own callers, but relays it no further, and its answer
 //! goes to the caller unchanged. It refuses the request if it has another version in force, is
-//! starting or stopping, or can reach no leaf either; then the next instance is asked.
+//! starting or stopping, or can reach no leaf either; then the next instance is asked. So it is if
+//! an instance falls silent and the request may be repeated.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 
 use bytes::Bytes;
 use camphorhold::coordination::serving::instances::HandoverOutcome;
+use camphorhold::coordination::serving::retry_budget::ExtraCall;
 use camphorhold::state::plan::CallSemantics;
 use camphorhold::state::plan::Plan;
 use camphorhold::transport::http;
@@ -30,6 +32,7 @@
 use crate::peer;
 use crate::shared::Phase;
 use crate::shared::Shared;
+use crate::tokens;
 
 /// In a request to another instance: marks it as relayed, with the version of the configuration
 /// that both instances must use. In an answer: the instance did not take the request. Answers of
@@ -39,6 +42,14 @@
 /// The most instances that are asked for one request.
 const MAX_TARGETS: usize = 5;
 
+/// How long an instance may take to answer before it is asked whether it responds at all, and the
+/// pause until it is asked again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(80);
+
+/// How long it may take to respond to that. A busy instance with an eighth of a core responds within
+/// a time slice of the processor, a tenth of a second.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(120);
+
 /// The longest accepted body of an answer, that of a leaf's answer to a request for one service.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -78,31 +89,99 @@
         let Some((name, address)) = target else {
             break;
         };
-        let mut in_flight = InFlight::start(shared, &name, 0);
-        let exchange = exchange(shared, forwarded, plan, address, left);
-        let result = tokio::time::timeout(left, exchange).await;
-        let Ok(result) = result else {
-            in_flight.record(HandoverOutcome::Failed);
-            log::info!(request = forwarded.id(), instance = &*name; "instance did not answer the relayed request in time");
-            return record("timed_out", empty_response(StatusCode::GATEWAY_TIMEOUT));
-        };
-        in_flight.end(&result);
-        match result {
-            Ok(answer) if is_refusal(forwarded, &answer) => asked.push(name),
-            Ok(answer) => return record("answered", answer::forward(answer)),
-            Err(http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_)) => {
-                asked.push(name);
+        match ask(shared, forwarded, plan, (&name, address), left).await {
+            Reply::Answered(answer) => return record("answered", answer::forward(answer)),
+            Reply::NotTaken => {}
+            Reply::Silent => {
+                log::info!(request = forwarded.id(), instance = &*name; "instance does not respond; relaying the request to another one");
+            }
+            Reply::TimedOut => {
+                log::info!(request = forwarded.id(), instance = &*name; "instance did not answer the relayed request in time");
+                return record("timed_out", empty_response(StatusCode::GATEWAY_TIMEOUT));
             }
-            Err(error @ (http::Error::Lost(_) | http::Error::TooLong)) => {
+            Reply::Lost(error) => {
                 log::info!(request = forwarded.id(), instance = &*name, error:% = error; "relayed request failed");
                 return record("failed", empty_response(StatusCode::BAD_GATEWAY));
             }
         }
+        asked.push(name);
     }
     log::info!(request = forwarded.id(), route = &*forwarded.route.name, asked = asked.join(","); "request refused: no leaf can be reached, and no instance takes it");
     record("refused", refuse(RETRY_AFTER))
 }
 
+/// How an instance has replied to a relayed request.
+enum Reply {
+    /// It has sent the answer for the caller.
+    Answered(Response<Bytes>),
+    /// It has not taken the request.
+    NotTaken,
+    /// It does not respond to anything, and another instance may be asked.
+    Silent,
+    /// The caller stops waiting.
+    TimedOut,
+    /// The connection was lost, or the answer is too long.
+    Lost(http::Error),
+}
+
+/// Relays a request to one instance. Asks that one from time to time whether it responds at all: the
+/// answer to the request itself may take long.
+async fn ask(
+    shared: &Rc<Shared>,
+    forwarded: &ForwardedRequest,
+    plan: &Plan,
+    (name, address): (&str, SocketAddr),
+    left: Duration,
+) -> Reply {
+    let mut in_flight = InFlight::start(shared, name, 0);
+    let exchange = tokio::time::timeout(left, exchange(shared, forwarded, plan, address, left));
+    tokio::pin!(exchange);
+    let result = loop {
+        tokio::select! {
+            result = &mut exchange => break result,
+            () = tokio::time::sleep(CHECK_INTERVAL) => {}
+        }
+        let responds = tokio::select! {
+            result = &mut exchange => break result,
+            responds = tokens::responds(shared, address, CHECK_TIMEOUT) => responds,
+        };
+        if !responds && may_relay_again(shared, forwarded) {
+            in_flight.record(HandoverOutcome::Failed);
+            return Reply::Silent;
+        }
+    };
+    let Ok(result) = result else {
+        in_flight.record(HandoverOutcome::Failed);
+        return Reply::TimedOut;
+    };
+    in_flight.end(&result);
+    match result {
+        Ok(answer) if is_refusal(forwarded, &answer) => Reply::NotTaken,
+        Ok(answer) => Reply::Answered(answer),
+        Err(http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_)) => {
+            Reply::NotTaken
+        }
+        Err(error @ (http::Error::Lost(_) | http::Error::TooLong)) => Reply::Lost(error),
+    }
+}
+
+/// Returns whether a request may be relayed to a second instance although the first one may have sent
+/// it to leafs, and takes the repetition from the retry budgets.
+fn may_relay_again(shared: &Shared, forwarded: &ForwardedRequest) -> bool {
+    if forwarded.route.semantics != CallSemantics::Idempotent {
+        return false;
+    }
+    let now = shared.now();
+    let services = forwarded.route.target.services();
+    let mut retry_budgets = shared.retry_budgets.borrow_mut();
+    services
+        .iter()
+        .all(|service| retry_budgets.available(service, now) >= 1.0)
+        && services
+            .iter()
+            .all(|service| retry_budgets.take(service, ExtraCall::Retry, now))
+}
+
 /// Returns the answer to a relayed request that this instance does not take.
 pub fn refusal() -> Response<Full<Bytes>> {
     let mut response = empty_response(StatusCode::CONFLICT);
--- a/instance/src/tokens.rs
+++ b/instance/src/tokens.rs
@@ -21,6 +21,7 @@
 use camphorhold::state::rate::InvalidRate;
 use camphorhold::transport::body;
 use camphorhold::transport::http;
+use camphorhold::transport::http::Connection;
 use futures::StreamExt;
 use futures::future::join_all;
 use http_body_util::Full;
@@ -302,11 +303,37 @@
     }
 }
 
+/// Returns whether an instance responds to an empty claim on a new connection within that time. It may
+/// refuse the claim.
+pub async fn responds(shared: &Shared, address: SocketAddr, timeout: Duration) -> bool {
+    let message = WireClaims {
+        claimant: shared.settings.name.clone(),
+        claims: Vec::new(),
+        notices: Vec::new(),
+    };
+    let exchange = async {
+        let connection = peer::open(address).await?;
+        send_on(shared, address, connection, &message).await
+    };
+    let result = tokio::time::timeout(timeout, exchange).await;
+    matches!(result, Ok(Ok(_) | Err(ClaimError::Refused(_))))
+}
+
 /// Sends claims or notices to an instance.
 async fn send(
     shared: &Shared,
     address: SocketAddr,
     message: &WireClaims,
+) -> Result<WireGrants, ClaimError> {
+    let connection = peer::connect(shared, address).await?;
+    send_on(shared, address, connection, message).await
+}
+
+async fn send_on(
+    shared: &Shared,
+    address: SocketAddr,
+    mut connection: Connection,
+    message: &WireClaims,
 ) -> Result<WireGrants, ClaimError> {
     let body = serde_json::to_vec(message)?;
     let mut request = Request::new(Full::new(Bytes::from(body)));
@@ -317,7 +344,6 @@
     if let Ok(host) = address.to_string().parse() {
         headers.insert(HOST, host);
     }
-    let mut connection = peer::connect(shared, address).await?;
     let answer = connection.exchange(request, MAX_BODY_BYTES).await?;
     peer::keep(shared, address, connection);
     if answer.status() != StatusCode::OK {
--- a/instance/tests/cut_off.rs
+++ b/instance/tests/cut_off.rs
@@ -15,6 +15,7 @@
 use hyper::StatusCode;
 use support::Instance;
 use support::Platform;
+use support::exchange_within;
 use support::wait_until;
 
 const REGISTRATIONS: &str = "camphorhold/instances/";
@@ -35,7 +36,8 @@
     platform: Platform,
     links: Vec<Proxy>,
     cut_off: Instance,
-    _other: Instance,
+    other: Instance,
+    behind_links: Store,
 }
 
 impl Deployment {
@@ -61,24 +63,31 @@
         behind_links.store.put(CONFIGURATION_KEY, &configuration);
         let cut_off = Instance::start(&behind_links, "1", "a").await;
         let other = Instance::start(&platform, "2", "b").await;
-        for (from, to) in [
-            (&platform.store, &behind_links.store),
-            (&behind_links.store, &platform.store),
+        let deployment = Self {
+            platform,
+            links,
+            cut_off,
+            other,
+            behind_links: behind_links.store,
+        };
+        deployment.exchange_registrations(1).await;
+        deployment
+    }
+
+    /// Copies the registrations between the stores, once there are that many behind no links.
+    async fn exchange_registrations(&self, others: usize) {
+        for (from, to, registered) in [
+            (&self.platform.store, &self.behind_links, others),
+            (&self.behind_links, &self.platform.store, 1),
         ] {
-            wait_until("the instance is registered", || async {
-                from.count(REGISTRATIONS) > 0
+            wait_until("the instances are registered", || async {
+                from.count(REGISTRATIONS) >= registered
             })
             .await;
             for (key, value) in from.items(REGISTRATIONS) {
                 to.put_bytes(&key, &value);
             }
         }
-        Self {
-            platform,
-            links,
-            cut_off,
-            _other: other,
-        }
     }
 
     fn set_links(&self, fault: LinkFault) {
@@ -211,3 +220,29 @@
     let runs = deployment.platform.leafs.iter().flat_map(Leaf::runs);
     assert_eq!(runs.filter(|run| run.request == "failed").count(), 1);
 }
+
+/// Guards against relayed requests that wait for an instance that does not respond until their
+/// deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_relayed_to_a_silent_instance_is_answered_by_another_one() {
+    let mut deployment = Deployment::start().await;
+    let _third = Instance::start(&deployment.platform, "3", "b").await;
+    deployment.exchange_registrations(2).await;
+    deployment.set_links(LinkFault::Down);
+    wait_until("another instance answers", || {
+        deployment.is_answered("relayed", "/all/x")
+    })
+    .await;
+    deployment.other.freeze();
+    let mut connection = deployment.cut_off.connect().await;
+    for number in 0..30 {
+        let path = ["/all/x", "/one/x"][number % 2];
+        let id = format!("r{number}");
+        let answer = exchange_within(&mut connection, &id, path, Duration::from_secs(2)).await;
+        let status = answer.expect("an answer").status();
+        assert_eq!(status, StatusCode::OK, "request {number}");
+        // The silent instance is tried again after its pause.
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    deployment.other.thaw();
+}
--- a/lib/src/state/plan.rs
+++ b/lib/src/state/plan.rs
@@ -49,6 +49,18 @@
     Shards(Scope),
 }
 
+impl Target {
+    /// Returns the services that requests with this target call.
+    #[must_use]
+    pub fn services(&self) -> Vec<&str> {
+        match self {
+            Self::Service(service) => vec![service],
+            Self::Split(shares) => shares.iter().map(|share| &*share.service).collect(),
+            Self::Shards(scope) => scope.shards.iter().map(|shard| &**shard).collect(),
+        }
+    }
+}
+
 /// How requests to one host with one path prefix are handled.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
