serving: wait for survivors when the canary of a query is lost

What callers saw, by reading: after a loss of power of all machines, leafs reset hundreds of connections. Two of them under one query ended it with 502, although its other calls were in progress and were answered.

Cause: once the connection of the canary was lost, shards without a call failed at once; only while a canary ran did they wait.

Change: they wait as long as any call of the query is in progress, and are called again if one is survived. Nothing is sent before that, so a query that ends leafs reaches no more of them.

shards_wait_for_survivors_when_the_canary_is_lost failed before (given up with 0 of 3 shards) and passes.

--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -214,7 +214,7 @@
 
     /// Records that a leaf has survived the request, and sends the calls that have waited for it.
     fn on_survived(&mut self, context: &mut Context<'_>, calls: &mut Vec<LeafCall>) {
-        let resumes = self.crash_guard.awaits_canary();
+        let resumes = !self.crash_guard.permits_call();
         self.crash_guard.on_survived();
         if !resumes {
             return;
@@ -389,7 +389,8 @@
     /// Sends a call, or waits if a leaf may become available in time, or else fails the shard.
     fn call_or_wait(&mut self, shard: usize, context: &mut Context<'_>, calls: &mut Vec<LeafCall>) {
         if !self.crash_guard.permits_call() {
-            let waits = self.crash_guard.awaits_canary() && context.now + RECHECK < self.answer_by;
+            // Any call in progress may show that leafs survive the request.
+            let waits = self.has_calls() && context.now + RECHECK < self.answer_by;
             self.wait_or_fail(shard, waits, context);
             return;
         }
--- a/lib/src/coordination/serving/fanout/crash_guard.rs
+++ b/lib/src/coordination/serving/fanout/crash_guard.rs
@@ -2,7 +2,7 @@
 //!
 //! A request whose connection to a leaf was lost may have ended the leaf. Until a leaf has survived
 //! it, it is sent to one further leaf only, the canary, and to no more if that connection is lost,
-//! too. A request that is known to have ended leafs starts with its canary.
+//! too, unless a call sent before is survived. A request that is known to have ended leafs starts with its canary.
 
 use crate::coordination::serving::fleet::LeafKey;
 
@@ -47,11 +47,6 @@
         matches!(self.0, State::Clear | State::Survived)
     }
 
-    /// Returns whether a canary is running, after which calls may be permitted.
-    pub(super) fn awaits_canary(self) -> bool {
-        matches!(self.0, State::Canary(_))
-    }
-
     /// Records a call to a leaf.
     pub(super) fn on_call(&mut self, leaf: LeafKey) {
         if self.0 == State::Suspect {
--- a/lib/tests/serving_crash_guard.rs
+++ b/lib/tests/serving_crash_guard.rs
@@ -216,3 +216,26 @@
     assert!(others.len() >= 2, "{others:?}");
     assert!(fanout.has_survivor());
 }
+
+/// Guards against a query that gives up shards because two connections were lost, while other leafs
+/// work on it and survive it.
+#[test]
+fn shards_wait_for_survivors_when_the_canary_is_lost() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request(false);
+    let canary = world.end(&mut fanout, calls[0], Outcome::Lost, 5);
+    assert!(
+        world
+            .end(&mut fanout, canary[0], Outcome::Lost, 8)
+            .is_empty()
+    );
+    assert!(
+        world
+            .end(&mut fanout, calls[1], Outcome::Lost, 9)
+            .is_empty()
+    );
+    assert_eq!(fanout.verdict(world.start + ms(9)), None);
+    let replaced = world.end(&mut fanout, calls[2], Outcome::Answered, 30);
+    let shards: Vec<usize> = replaced.iter().map(|call| call.shard).collect();
+    assert_eq!(shards, [0, 1]);
+}
