instance: list and version what releases share, and record earlier ones

camphorhold_build_info, the start line and OPERATIONS say which release runs, and how to upgrade and go back.

--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -18,6 +18,7 @@
 mod refusal;
 mod registration;
 mod relay;
+mod release;
 mod reload;
 mod request;
 mod server;
@@ -82,6 +83,7 @@
     let (_logger, flush) = logging::start(&arguments.log).into_diagnostic()?;
     let metrics_address = SocketAddr::new(settings.caller_address.ip(), arguments.metrics_port);
     let handle = exposition::install().into_diagnostic()?;
+    release::describe();
     let result = process.run(settings, &arguments.settings, (metrics_address, handle));
     flush.flush();
     Ok(result?)
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -25,6 +25,7 @@
 use crate::mirror::Mirror;
 use crate::probe;
 use crate::registration;
+use crate::release;
 use crate::reload::SettingsFile;
 use crate::request::Source;
 use crate::server;
@@ -114,6 +115,8 @@
     log::info!(
         instance = &*settings.name,
         domain = &*settings.domain,
+        version = release::VERSION,
+        protocol = release::PROTOCOL,
         callers:% = settings.caller_address;
         "started"
     );
--- a/instance/src/registration.rs
+++ b/instance/src/registration.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::release;
 use crate::shared::Shared;
 
 /// The lifetime of a registration: the longest that the store permits. The other instances count an
@@ -37,6 +38,13 @@
     address: SocketAddr,
     // In cores. Absent in the registrations of earlier releases.
     capacity: Option<f64>,
+    // The version of the messages that the instance knows.
+    #[serde(default = "first_protocol")]
+    protocol: u32,
+}
+
+fn first_protocol() -> u32 {
+    1
 }
 
 /// Parses the registration of an instance.
@@ -49,6 +57,7 @@
         domain: registration.domain,
         address: registration.address,
         capacity: Capacity::from_cores(registration.capacity.unwrap_or(1.0)),
+        protocol: registration.protocol,
     })
 }
 
@@ -90,6 +99,7 @@
         domain: shared.settings.domain.clone(),
         address: shared.settings.peer_address,
         capacity: Some(shared.settings.capacity),
+        protocol: release::PROTOCOL,
     })?;
     let lease = store.grant(LIFETIME).await?;
     store
--- a/instance/src/tokens.rs
+++ b/instance/src/tokens.rs
@@ -39,6 +39,7 @@
 
 use crate::answer::empty_response;
 use crate::peer;
+use crate::release;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
@@ -384,7 +385,7 @@
     for notice in &notices {
         on_notice(&shared, notice);
     }
-    let others: Vec<SocketAddr> = shared.instances.borrow().others().collect();
+    let others: Vec<SocketAddr> = shared.instances.borrow().others(release::NOTICES).collect();
     let sent = futures::stream::iter(others)
         .map(|address| tokio::time::timeout(TIMEOUT, send(&shared, address, &message)))
         .buffer_unordered(MAX_PARALLEL_NOTICES);
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -2,7 +2,10 @@
 #![allow(clippy::unwrap_used, reason = "a test helper fails by panicking")]
 #![allow(dead_code, reason = "not every test file needs every helper")]
 
+pub mod recorder;
+
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -115,8 +118,18 @@
 impl Instance {
     /// Starts an instance in a failure domain and waits until it is ready.
     pub async fn start(platform: &Platform, name: &str, domain: &str) -> Self {
+        Self::start_program(platform, Path::new(program()), name, domain).await
+    }
+
+    /// Starts an instance as [`Self::start`] does, of another release.
+    pub async fn start_program(
+        platform: &Platform,
+        program: &Path,
+        name: &str,
+        domain: &str,
+    ) -> Self {
         let process = Process::start(ProcessConfig {
-            program: program().into(),
+            program: program.into(),
             name: name.into(),
             domain: domain.into(),
             store: platform.store.address(),
@@ -128,6 +141,11 @@
         Self { process }
     }
 
+    /// Returns the address for other instances.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.process.peer_address()
+    }
+
     /// Sends a request with the id `request` on a new connection and returns its answer.
     pub async fn send(&self, request: &str, path: &str) -> Result<Response<Bytes>, Error> {
         let mut connection = Connection::open(self.process.caller_address(), TCP_OPTIONS).await?;
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -372,13 +372,16 @@
             .map(|(name, location, _)| (&**name, location.address))
     }
 
-    /// Iterates over the addresses of the other instances.
-    pub fn others(&self) -> impl Iterator<Item = SocketAddr> {
+    /// Iterates over the addresses of the other instances that know this version of the messages.
+    pub fn others(&self, protocol: u32) -> impl Iterator<Item = SocketAddr> {
         let registered = self
             .by_name
             .iter()
             .filter(|(name, instance)| instance.removed_at.is_none() && **name != self.own_name);
-        registered.filter_map(|(_, instance)| Some(instance.location.as_ref()?.address))
+        registered
+            .filter_map(|(_, instance)| instance.location.as_ref())
+            .filter(move |location| location.protocol >= protocol)
+            .map(|location| location.address)
     }
 
     /// Returns whether this instance is the first choice as the grantor of a leaf's tokens, or
--- a/lib/src/coordination/serving/instances/instance.rs
+++ b/lib/src/coordination/serving/instances/instance.rs
@@ -50,6 +50,8 @@
     pub address: SocketAddr,
     /// How much work it can take over.
     pub capacity: Capacity,
+    /// The version of the messages between instances that it knows.
+    pub protocol: u32,
 }
 
 /// The registration of an instance, and what this instance has seen of it.
--- a/lib/tests/serving_parts.rs
+++ b/lib/tests/serving_parts.rs
@@ -156,6 +156,7 @@
         domain: domain.into(),
         address: SocketAddr::from(([10, 0, 0, 1], 7000)),
         capacity: Capacity::from_cores(cores),
+        protocol: 1,
     }
 }
 
--- a/lib/tests/serving_reachability.rs
+++ b/lib/tests/serving_reachability.rs
@@ -65,6 +65,7 @@
             domain: name[..1].into(),
             address: SocketAddr::from(([10, 0, 0, 1], 80)),
             capacity: Capacity::from_cores(1.0),
+            protocol: 1,
         };
         instances.add(name, Some(location));
     }
