instance: refuse other instances as not run while there is no configuration

Cause: an instance that has not read a configuration yet answered handovers with 503, as it does callers. The sender took that for "leafs have refused it", so each of its own calls instead was a retry. A third of the owners are in that state, their registrations live on, and a query has 87 shards: the budget was gone at once, and queries ended with 502 after 45 ms. The sender also counted 503 as an answer of a working instance, and asked it again.

Change: such an instance refuses as one does that has another version. The same answer goes out for a route that is not known: the bare 409 of a relayed request that may run at most once went to the caller. Instances of protocol 1 still send both, so the status alone counts as before.

shards_of_an_instance_without_configuration_... failed before (503 for the first query), a_request_on_a_route_that_the_other_instance_does_not_know_... with the bare 409; both pass.

--- a/instance/src/relay.rs
+++ b/instance/src/relay.rs
@@ -156,7 +156,7 @@
     };
     in_flight.end(&result);
     match result {
-        Ok(answer) if answer.headers().contains_key(HEADER) => Reply::NotTaken,
+        Ok(answer) if is_refusal(forwarded, &answer) => Reply::NotTaken,
         Ok(answer) => Reply::Answered(answer),
         Err(http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_)) => {
             Reply::NotTaken
@@ -190,6 +190,15 @@
     response
 }
 
+/// Returns whether an instance has not taken a request. One of protocol 1 that does not know the route
+/// says so by the status only, which may also be that of a leaf.
+fn is_refusal(forwarded: &ForwardedRequest, answer: &Response<Bytes>) -> bool {
+    let by_status = answer.status() == StatusCode::CONFLICT
+        && forwarded.route.semantics == CallSemantics::Idempotent
+        && !answer.headers().contains_key(header::SIGNATURE);
+    by_status || answer.headers().contains_key(HEADER)
+}
+
 fn record(outcome: &'static str, response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
     metrics::counter!("camphorhold_relays_total", "outcome" => outcome).increment(1);
     response
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -157,11 +157,16 @@
     let plan = shared.wait_for_plan().await;
     let Some(plan) = plan else {
         log::info!(request = request_id(request.headers()); "request refused: no configuration yet");
-        return refuse(Duration::from_millis(100));
+        return if origin.source == Source::Caller {
+            refuse(Duration::from_millis(100))
+        } else {
+            // Says that no leaf was called, so that the sender asks another instance or a leaf.
+            relay::refusal()
+        };
     };
     let Some(route) = find_route(&plan, &request) else {
-        if origin.source == Source::Instance {
-            return empty_response(StatusCode::CONFLICT);
+        if origin.source != Source::Caller {
+            return relay::refusal();
         }
         log::info!(request = request_id(request.headers()), path = request.uri().path(), config_version = plan.version(); "request answered with 404: no route matches its host and path");
         return empty_response(StatusCode::NOT_FOUND);
--- a/instance/tests/cut_off.rs
+++ b/instance/tests/cut_off.rs
@@ -246,3 +246,26 @@
     }
     deployment.other.thaw();
 }
+
+/// Guards against a caller that gets the status with which instances refuse each other, when the other
+/// one has a configuration without the route.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_on_a_route_that_the_other_instance_does_not_know_is_refused_as_not_run() {
+    let deployment = Deployment::start().await;
+    deployment.set_links(LinkFault::Down);
+    wait_until("another instance answers", || {
+        deployment.is_answered("relayed", "/once/x")
+    })
+    .await;
+    let mut without_routes = configuration(2, &["s1", "s2", "s3", "s4"]);
+    without_routes["routes"] = serde_json::json!([]);
+    let store = &deployment.platform.store;
+    store.put(CONFIGURATION_KEY, &without_routes);
+    wait_until("the request is refused", || async {
+        let answer = deployment.cut_off.send("unknown", "/once/x").await;
+        let status = answer.expect("an answer").status();
+        assert_ne!(status, StatusCode::CONFLICT);
+        status == StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+}
--- a/instance/tests/owners.rs
+++ b/instance/tests/owners.rs
@@ -266,3 +266,27 @@
         assert_eq!(stamps.len() + missing, SHARDS.len());
     }
 }
+
+/// Guards against the retry budget being used up by instances that have no configuration yet, as when
+/// all of them start again while the store turns some away.
+#[tokio::test(flavor = "multi_thread")]
+async fn shards_of_an_instance_without_configuration_need_no_retry_budget() {
+    let leafs: Vec<(&str, &str)> = SHARDS.iter().map(|shard| (*shard, "b")).collect();
+    let platform = Platform::start(&leafs).await;
+    let starting = Instance::start_without_store("2", "b").await;
+    let registration = serde_json::json!({
+        "domain": "b", "address": starting.peer_address().to_string(), "capacity": 1.0,
+    });
+    platform.store.put("camphorhold/instances/2", &registration);
+    let instance = Instance::start(&platform, "1", "a").await;
+    let refused = "camphorhold_handovers_total{outcome=\"refused\"}";
+    for number in 0..40 {
+        let answer = instance.send(&format!("r{number}"), "/all/x").await;
+        assert_complete(&answer.expect("an answer"));
+    }
+    assert!(
+        instance.counter(refused).await > 0,
+        "nothing was handed over"
+    );
+    assert_eq!(instance.counter("camphorhold_retries_total").await, 0);
+}
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -141,6 +141,28 @@
         Self { process }
     }
 
+    /// Starts an instance whose store does not answer, so that it has no configuration, and waits until
+    /// it accepts connections.
+    pub async fn start_without_store(name: &str, domain: &str) -> Self {
+        let unused = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let store = unused.local_addr().unwrap();
+        drop(unused);
+        let process = Process::start(ProcessConfig {
+            program: program().into(),
+            name: name.into(),
+            domain: domain.into(),
+            store,
+            log: None,
+        });
+        let process = process.unwrap();
+        let peers = process.peer_address();
+        wait_until("the instance accepts connections", || async {
+            TcpStream::connect(peers).await.is_ok()
+        })
+        .await;
+        Self { process }
+    }
+
     /// Returns the address for other instances.
     pub fn peer_address(&self) -> SocketAddr {
         self.process.peer_address()
