instance: ask leafs a moment after a connection was lost

Cause: the instance looked for ended leafs within a millisecond of the loss. Its links go one after the other, so the lost leaf was down and leafs of other services still accepted connections: the request was suspected, and its next attempt was a trial that lost its link, too.

Tried first and dropped: asking only the other leafs later.

Change: all are asked 300 ms after the loss, at the same time.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -32,6 +32,10 @@
 /// connections is not that of the network.
 const MAX_REFERENCES: usize = 3;
 
+/// How long after the loss of a connection leafs are asked. The links of an instance may fail one after
+/// the other, and a leaf that has ended is not back sooner than after about a second.
+const PROBE_DELAY: Duration = Duration::from_millis(300);
+
 /// The time within which the entry of a leaf goes that has ended: three of its check-in intervals,
 /// about a second each, and the time until the change is read.
 const ENTRY_LAPSE: Duration = Duration::from_secs(4);
@@ -281,6 +285,7 @@
     if lost_leafs.is_empty() {
         return Err("the leafs were leaving");
     }
+    tokio::time::sleep(PROBE_DELAY).await;
     let services = target.services();
     let references = shared.fleet.borrow().sample_of_others(
         &services,
--- a/instance/tests/cut_off.rs
+++ b/instance/tests/cut_off.rs
@@ -269,3 +269,26 @@
     })
     .await;
 }
+
+/// Guards against the same while the links fail one after the other, so that those to other leafs
+/// still work when the first one is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_not_blamed_for_links_that_fail_one_after_the_other() {
+    let deployment = Deployment::start().await;
+    let leafs = &deployment.platform.leafs;
+    for leaf in leafs {
+        leaf.set_behaviour(Behaviour::Slow(Duration::from_millis(400)));
+    }
+    let is_running = || async { leafs.iter().any(|leaf| !leaf.runs().is_empty()) };
+    let cut = async {
+        wait_until("the request is running", is_running).await;
+        for link in &deployment.links {
+            link.set(LinkFault::Down);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::join!(deployment.is_answered("running", "/one/x"), cut);
+    tokio::time::sleep(CONTACT_TIME).await;
+    let crashes = deployment.cut_off.counter(CRASHES).await;
+    assert_eq!(crashes, 0);
+}
