serving: move the record and the survivals of suspect requests to modules

suspects.rs had 584 lines and three jobs. Definitions are moved and made visible to their parent, and nothing else changes; the tests of the decisions pass.

--- a/lib/src/coordination/serving/suspects.rs
+++ b/lib/src/coordination/serving/suspects.rs
@@ -10,10 +10,17 @@
 //! Requests that leafs have survived recently do not become suspect by a single event: requests that
 //! many callers send are in progress whenever a leaf ends for another reason.
 
+mod record;
+mod survivals;
+
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use self::record::Pending;
+pub use self::record::Record;
+pub use self::record::Stored;
+use self::survivals::Survivals;
 use crate::state::id::Fingerprint;
 
 /// How long a record is kept after its last change. The longest lease of the store.
@@ -25,124 +32,10 @@
 /// How many events in a row, without a survivor in between, make a protected request suspect.
 const PROTECTED_EVENTS: u32 = 2;
 
-/// The pause after a first trial without a result. The usual causes, such as leafs that are full or
-/// start again, are over by then.
-const SHORT_PAUSE: Duration = Duration::from_secs(5);
-
-/// The pause after a trial under which a leaf has ended, and after a second one without a result.
-const LONG_PAUSE: Duration = Duration::from_mins(1);
-
 /// How long after its last change a record that the store has lost is written again. Records that
 /// expire in the usual way are older.
 const REWRITE_AGE: Duration = Duration::from_mins(8);
 
-/// What all instances share about a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Record {
-    /// One for the attempts that made the request suspect, and one for each trial under which leafs
-    /// have ended; 0 if the request is not suspect.
-    pub attempts: u32,
-    /// The trials that were started since the request became suspect.
-    pub trials: u32,
-    /// Whether a leaf has survived the request since.
-    pub survived: bool,
-}
-
-impl Record {
-    /// The record of a request that a leaf has survived.
-    pub const CLEARED: Self = Self {
-        attempts: 0,
-        trials: 0,
-        survived: true,
-    };
-
-    /// Returns what two instances know together.
-    fn merge(self, other: Self) -> Self {
-        Self {
-            attempts: self.attempts.max(other.attempts),
-            trials: self.trials.max(other.trials),
-            survived: false,
-        }
-    }
-
-    /// Returns how long after the last change the next trial may start.
-    fn pause(self) -> Duration {
-        match (self.trials, self.attempts) {
-            (0, _) => Duration::ZERO,
-            (1, 0..=1) => SHORT_PAUSE,
-            (1, _) | (2, 0..=2) => LONG_PAUSE,
-            _ => EXPIRY,
-        }
-    }
-}
-
-/// A record as it was read from the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stored {
-    /// Written by this release or a later one.
-    Current(Record),
-    /// Written by an earlier release, which counts attempts only, overwrites records without a
-    /// condition, and takes errors of leafs for survival.
-    Earlier {
-        /// The attempts under which leafs have ended.
-        attempts: u32,
-    },
-}
-
-/// Changes of a record that the store does not have yet, in the order of the fields.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Pending {
-    survived: bool,
-    suspect: bool,
-    trials: u32,
-    withdrawn_trials: u32,
-    crashed_trials: u32,
-    // Writes the record as it is.
-    rewritten: bool,
-}
-
-impl Pending {
-    fn apply(self, record: Record) -> Record {
-        let mut record = if self.survived {
-            Record::CLEARED
-        } else {
-            record
-        };
-        if self.suspect && record.attempts == 0 {
-            record = Record {
-                attempts: 1,
-                trials: 0,
-                survived: false,
-            };
-        }
-        if record.attempts > 0 {
-            let trials = record.trials.saturating_add(self.trials);
-            record.trials = trials.saturating_sub(self.withdrawn_trials);
-            record.attempts = record.attempts.saturating_add(self.crashed_trials);
-        }
-        record
-    }
-
-    /// Returns the changes of `self` followed by those of `later`.
-    fn then(self, later: Self) -> Self {
-        if later.survived {
-            return later;
-        }
-        Self {
-            survived: self.survived,
-            suspect: self.suspect || later.suspect,
-            trials: self.trials.saturating_add(later.trials),
-            withdrawn_trials: self.withdrawn_trials.saturating_add(later.withdrawn_trials),
-            crashed_trials: self.crashed_trials.saturating_add(later.crashed_trials),
-            rewritten: self.rewritten || later.rewritten,
-        }
-    }
-
-    fn is_empty(self) -> bool {
-        self == Self::default()
-    }
-}
-
 /// A record to be written to the store, on the condition that the stored one has not changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Write {
@@ -241,15 +134,6 @@
     }
 }
 
-/// A request that leafs have survived.
-#[derive(Clone, Copy, Debug)]
-struct Survival {
-    at: Instant,
-    // Events since then, and when the last one was noticed.
-    events: u32,
-    noticed_at: Instant,
-}
-
 /// What one instance knows about suspect requests.
 #[derive(Clone, Debug)]
 pub struct Suspects {
@@ -540,45 +424,3 @@
             .or_insert_with(|| Suspect::new(now))
     }
 }
-
-/// Requests that leafs have survived, in two generations. When the newer one is full, it replaces
-/// the older one, whose entries are dropped at once.
-#[derive(Clone, Debug)]
-struct Survivals {
-    generation_capacity: usize,
-    newer: HashMap<Fingerprint, Survival>,
-    older: HashMap<Fingerprint, Survival>,
-}
-
-impl Survivals {
-    fn new(generation_capacity: usize) -> Self {
-        Self {
-            generation_capacity: generation_capacity.max(1),
-            newer: HashMap::new(),
-            older: HashMap::new(),
-        }
-    }
-
-    fn get_mut(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<&mut Survival> {
-        let newer = self.newer.get_mut(&fingerprint);
-        let found = newer.or_else(|| self.older.get_mut(&fingerprint));
-        found.filter(|survival| now < survival.at + SURVIVAL_RETENTION)
-    }
-
-    fn insert(&mut self, fingerprint: Fingerprint, now: Instant) {
-        if self.newer.len() >= self.generation_capacity {
-            self.older = std::mem::take(&mut self.newer);
-        }
-        let survival = Survival {
-            at: now,
-            events: 0,
-            noticed_at: now,
-        };
-        self.newer.insert(fingerprint, survival);
-    }
-
-    fn remove(&mut self, fingerprint: Fingerprint) {
-        self.newer.remove(&fingerprint);
-        self.older.remove(&fingerprint);
-    }
-}
