instance: record the revisions that probes of the store show

Adds a gauge of the revision that was applied and of the one that was probed, and a line when following the store goes on after a failed call. No decision changes.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -88,6 +88,7 @@
                         self.on_restored(era);
                         last_revision = None;
                     }
+                    log::info!(after:? = last_revision; "following the store again after a failed call");
                 }
             }
         }
@@ -149,6 +150,7 @@
         self.on_success();
         self.monitor
             .on_changes_read(listing.revision, self.shared.now());
+        record_revision("applied", listing.revision);
         self.mirror
             .borrow_mut()
             .apply_listing(&listing, self.store.era());
@@ -197,6 +199,7 @@
                 (sent, shown) = probe => {
                     let now = self.shared.now();
                     if let Some(revision) = shown? {
+                        record_revision("probed", revision);
                         let probe = watch::Probe { read, revision, sent };
                         record_probe(&mut self.monitor, probe, settling_time, now);
                     }
@@ -212,6 +215,7 @@
         self.on_success();
         self.monitor
             .on_changes_read(changes.revision, self.shared.now());
+        record_revision("applied", changes.revision);
         let has_events = !changes.events.is_empty();
         log::info!(after = revision, events = changes.events.len(), revision = changes.revision, era:? = self.store.era(); "changes read from the store");
         self.mirror.borrow_mut().apply_changes(&changes);
@@ -223,6 +227,12 @@
     }
 }
 
+/// Sets the gauge of the revision that was applied, or that the last probe has shown.
+#[expect(clippy::cast_precision_loss, reason = "revisions are far below 2^53")]
+fn record_revision(source: &'static str, revision: u64) {
+    metrics::gauge!("camphorhold_store_revision", "source" => source).set(revision as f64);
+}
+
 fn record_probe(
     monitor: &mut watch::Monitor,
     probe: watch::Probe,
