instance: test changes that lost watches hide while cheap reads are old

The stand-in of the store gains watches that hear nothing, also those that wait already; its fault LoseWatches covers only those that arrive.

--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -56,6 +56,9 @@
     /// It never answers a watch that arrives during the fault, not even after the fault, and keeps
     /// the connection open.
     LoseWatches,
+    /// It leaves out the watches that wait or arrive during the fault from all changes, also later
+    /// ones, and keeps their connections open.
+    DeafWatches,
     /// It never answers a call that arrives during the fault, not even after the fault, and keeps
     /// the connection open.
     Silent,
@@ -218,6 +221,14 @@
         self.shared.lock().read_age = age;
     }
 
+    /// Returns how long ago the store was changed last, zero if it never was.
+    #[must_use]
+    pub fn quiet_for(&self) -> Duration {
+        let state = self.shared.lock();
+        let last = state.reached.last();
+        last.map_or(Duration::ZERO, |(at, _)| at.elapsed())
+    }
+
     /// Removes the history: a watch after an earlier revision is answered with 410.
     pub fn compact(&self) {
         let mut state = self.shared.lock();
@@ -269,7 +280,8 @@
         self.shared.lock().calls
     }
 
-    /// Returns the number of watches that [`Fault::LoseWatches`] has left without an answer.
+    /// Returns the number of watches that [`Fault::LoseWatches`] and [`Fault::DeafWatches`] have left
+    /// without an answer.
     #[must_use]
     pub fn lost_watches(&self) -> u64 {
         self.shared.lock().lost_watches
@@ -438,6 +450,11 @@
     let era = shared.lock().era;
     let is_over = |changed: &(u64, u64)| changed.0 != era || changed.1 > after || after > changed.1;
     let _ = tokio::time::timeout(wait, revisions.wait_for(is_over)).await;
+    let is_deaf = shared.lock().fault == Fault::DeafWatches;
+    if is_deaf {
+        shared.lock().lost_watches += 1;
+        std::future::pending::<()>().await;
+    }
     let state = shared.lock();
     if after < state.compacted || after > state.revision {
         return (StatusCode::GONE, json!({}));
