instance: confirm the store's revision by current reads that a group shares

Cause: three instances knew from a probe that the store was ahead, counted their watch as lost, and forgot what they had seen when they sent it again. The replacement heard nothing, and cheap reads were 5.5 s behind by then, which nothing shows while nothing changes.

Evidence: the record has 'the watch missed changes up to revision 345' at 2.37 s at these three only; their later probes were answered and changed nothing; the 61 others got 410 and were up to date at 2.55 s. Calls that failed, or none, are refuted by the store's counts.

Change: what a sighting has shown stays until the changes are read; a replacement that misses them too leads to a listing. Each instance needs a current read every 0.45 of the settling time; one of a group makes it and tells the others by datagrams, so 64 instances make 2.7 reads a second and 195 make 2.8. The guess at the age of cheap reads goes: it needed an observation.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -2,18 +2,23 @@
 //! evacuations, instances and rollouts.
 
 use std::cell::RefCell;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
+use camphorhold::coordination::serving::instances::Readers;
 use camphorhold::coordination::serving::watch;
 use camphorhold::coordination::serving::watch::Read;
+use camphorhold::coordination::serving::watch::Sighting;
 use camphorhold_platform::store::Changes;
 use camphorhold_platform::store::Era;
 use camphorhold_platform::store::Store;
 use camphorhold_platform::store::StoreError;
 
+use crate::confirmation;
 use crate::mirror::Mirror;
+use crate::release;
 use crate::shared::Shared;
 
 /// How long one watch waits for changes. The store permits up to 30 s, and bills each return.
@@ -32,13 +37,32 @@
 /// not lapse in a shorter time.
 const MIN_OUTAGE: Duration = Duration::from_millis(900);
 
+/// The instances that share current reads with this one, as of a generation of the registrations.
+#[derive(Debug, Default)]
+struct Group {
+    generation: Option<u64>,
+    readers: Readers,
+}
+
+impl Group {
+    fn get(&mut self, shared: &Shared) -> &Readers {
+        let instances = shared.instances.borrow();
+        let generation = instances.generation();
+        if self.generation != Some(generation) {
+            self.generation = Some(generation);
+            self.readers = instances.readers(release::CONFIRMATIONS);
+        }
+        &self.readers
+    }
+}
+
 /// Reads the store, watches it for changes and applies them to the shared state.
 pub struct Follower {
     shared: Rc<Shared>,
     store: Store,
     // A second client for probes: the connection of the first is busy during a watch.
     probes: Store,
-    monitor: watch::Monitor,
+    readers: Group,
     // Outlives the follower: the fleet holds what was applied to it.
     mirror: Rc<RefCell<Mirror>>,
     failing_since: Option<Instant>,
@@ -47,14 +71,14 @@
 impl Follower {
     /// Creates a follower that applies what it reads to `mirror`, from a full reading on.
     pub fn new(shared: Rc<Shared>, mirror: Rc<RefCell<Mirror>>) -> Self {
-        let store = Store::in_era(shared.settings.store_address, mirror.borrow().era());
+        let store = Store::in_era(shared.settings.store_address, shared.store_era.get());
         let probes = store.sibling();
         Self {
             shared,
             mirror,
             store,
             probes,
-            monitor: watch::Monitor::default(),
+            readers: Group::default(),
             failing_since: None,
         }
     }
@@ -63,6 +87,7 @@
     pub async fn run(mut self) {
         let mut pause = FIRST_PAUSE;
         let mut last_revision = None;
+        let mut has_missed_changes = false;
         loop {
             let result = match last_revision {
                 None => self.read_all().await,
@@ -71,6 +96,7 @@
             match result {
                 Ok(revision) => {
                     last_revision = Some(revision);
+                    has_missed_changes = false;
                     pause = FIRST_PAUSE;
                 }
                 Err(StoreError::Compacted) => {
@@ -84,6 +110,12 @@
                 }
                 Err(error) => {
                     self.on_failure(&error);
+                    if matches!(error, StoreError::MissedChanges(_))
+                        && std::mem::replace(&mut has_missed_changes, true)
+                    {
+                        // The watch that replaced the lost one has missed the same changes.
+                        last_revision = None;
+                    }
                     if let Some(era) = self.wait_for_answer(&mut pause).await {
                         self.on_restored(era);
                         last_revision = None;
@@ -146,10 +178,13 @@
     }
 
     async fn read_all(&mut self) -> Result<u64, StoreError> {
+        let sent = self.shared.now();
         let listing = self.store.list("").await?;
         self.on_success();
-        self.monitor
-            .on_changes_read(listing.revision, self.shared.now());
+        self.shared
+            .watch
+            .borrow_mut()
+            .on_listed(listing.revision, sent);
         record_revision("applied", listing.revision);
         self.mirror
             .borrow_mut()
@@ -158,63 +193,28 @@
     }
 
     /// Waits for changes after `revision`. Meanwhile probes the store, and fails if a probe fails or
-    /// shows changes that the watch does not return.
+    /// the changes up to a revision that the store has been seen at do not arrive.
     async fn watch(&mut self, revision: u64) -> Result<Changes, StoreError> {
-        let watch = self.store.watch(revision, WATCH_TIMEOUT);
-        tokio::pin!(watch);
-        self.monitor.on_watch_sent();
-        // The first probe is sent together with the watch: a fault that loses the watch also loses
-        // the probe.
-        let mut probe_at = self.shared.now();
-        loop {
-            let timer = self.mirror.borrow().next_timer();
-            let timer = async {
-                match timer {
-                    Some(at) => tokio::time::sleep_until(at.into()).await,
-                    None => std::future::pending().await,
-                }
-            };
-            let overdue = self.monitor.overdue();
-            let lost = async {
-                match overdue {
-                    Some(overdue) => {
-                        tokio::time::sleep_until(overdue.lost_at.into()).await;
-                        overdue.revision
-                    }
-                    None => std::future::pending().await,
-                }
-            };
-            let settling_time = self.shared.bounds.get().settling_time;
-            let read = self.monitor.next_read(settling_time, self.shared.now());
-            let probe = async {
-                tokio::time::sleep_until(probe_at.into()).await;
-                let sent = self.shared.now();
-                (sent, self.probes.probe(read).await)
-            };
-            tokio::select! {
-                biased;
-                changes = &mut watch => return changes,
-                () = timer => self.mirror.borrow_mut().on_timer(),
-                missed = lost => return Err(StoreError::MissedChanges(missed)),
-                (sent, shown) = probe => {
-                    let now = self.shared.now();
-                    if let Some(revision) = shown? {
-                        record_revision("probed", revision);
-                        let probe = watch::Probe { read, revision, sent };
-                        record_probe(&mut self.monitor, probe, settling_time, now);
-                    }
-                    self.shared.last_store_answer.set(now);
-                    probe_at = now + self.monitor.pause(settling_time, now);
-                }
-            }
+        let shared = &self.shared;
+        let settling_time = shared.bounds.get().settling_time;
+        let now = shared.now();
+        shared.watch.borrow_mut().on_watch_sent(settling_time, now);
+        tokio::select! {
+            biased;
+            changes = self.store.watch(revision, WATCH_TIMEOUT) => changes,
+            never = run_timers(&self.mirror) => match never {},
+            missed = wait_until_lost(shared) => Err(StoreError::MissedChanges(missed)),
+            error = probe(shared, &mut self.probes, &mut self.readers) => Err(error),
         }
     }
 
     async fn read_changes(&mut self, revision: u64) -> Result<u64, StoreError> {
         let changes = self.watch(revision).await?;
         self.on_success();
-        self.monitor
-            .on_changes_read(changes.revision, self.shared.now());
+        self.shared
+            .watch
+            .borrow_mut()
+            .on_changes_read(changes.revision);
         record_revision("applied", changes.revision);
         let has_events = !changes.events.is_empty();
         log::info!(after = revision, events = changes.events.len(), revision = changes.revision, era:? = self.store.era(); "changes read from the store");
@@ -233,18 +233,75 @@
     metrics::gauge!("camphorhold_store_revision", "source" => source).set(revision as f64);
 }
 
-fn record_probe(
-    monitor: &mut watch::Monitor,
-    probe: watch::Probe,
-    settling_time: Duration,
-    now: Instant,
-) {
-    let read = monitor.next_read(settling_time, now);
-    monitor.on_probe(probe, settling_time, now);
-    let age = monitor.cheap_read_age(now);
-    metrics::gauge!("camphorhold_store_read_age_seconds").set(age.as_secs_f64());
-    if monitor.next_read(settling_time, now) != read {
-        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-        log::warn!(age_ms = age_ms; "cheap reads of the store are too old to reveal a lost watch; probing with current reads");
+/// Ends the phases after a restore whose time has come.
+async fn run_timers(mirror: &RefCell<Mirror>) -> Infallible {
+    loop {
+        let timer = mirror.borrow().next_timer();
+        match timer {
+            Some(at) => tokio::time::sleep_until(at.into()).await,
+            None => std::future::pending().await,
+        }
+        mirror.borrow_mut().on_timer();
+    }
+}
+
+/// Waits until the watch counts as lost. Returns the revision up to which it has missed changes.
+async fn wait_until_lost(shared: &Shared) -> u64 {
+    loop {
+        let changed = shared.watch_changed.notified();
+        let overdue = shared.watch.borrow().overdue();
+        let Some(overdue) = overdue else {
+            changed.await;
+            continue;
+        };
+        tokio::select! {
+            () = tokio::time::sleep_until(overdue.lost_at.into()) => return overdue.revision,
+            () = changed => {}
+        }
+    }
+}
+
+/// Probes the store while a watch waits, until a probe fails. Makes a current read when it is this
+/// instance's turn, and tells the others what it has shown.
+async fn probe(shared: &Shared, store: &mut Store, group: &mut Group) -> StoreError {
+    // The first probe is sent together with the watch: a fault that loses the watch also loses the
+    // probe.
+    let mut cheap_at = shared.now();
+    loop {
+        let changed = shared.watch_changed.notified();
+        let readers = group.get(shared);
+        let settling_time = shared.bounds.get().settling_time;
+        let current_at = shared
+            .watch
+            .borrow()
+            .confirmation_due(settling_time, readers.rank);
+        let (read, at) = match current_at {
+            Some(current_at) if current_at <= cheap_at => (Read::Current, current_at),
+            _ => (Read::Cheap, cheap_at),
+        };
+        tokio::select! {
+            () = tokio::time::sleep_until(at.into()) => {}
+            () = changed => continue,
+        }
+        let sent = shared.now();
+        let sent_since_boot = shared.clock.since_boot();
+        let revision = match store.probe(read).await {
+            Ok(revision) => revision,
+            Err(error) => return error,
+        };
+        if let Some(revision) = revision {
+            record_revision("probed", revision);
+            shared.on_sighting(Sighting {
+                read,
+                revision,
+                sent,
+            });
+            if read == Read::Current {
+                confirmation::send(shared, &readers.others, revision, sent_since_boot);
+            }
+        }
+        let now = shared.now();
+        shared.last_store_answer.set(now);
+        cheap_at = now + watch::cheap_pause(settling_time);
     }
 }
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod confirmation;
 mod crash_records;
 mod crashes;
 mod exposition;
--- a/instance/src/mirror.rs
+++ b/instance/src/mirror.rs
@@ -49,8 +49,6 @@
 /// The entries of the store that have been applied.
 pub struct Mirror {
     shared: Rc<Shared>,
-    // The era of the store that the entries are from.
-    era: Option<Era>,
     // The newest applied revision of each item, so that an older listing does not undo a change.
     revisions: HashMap<Box<str>, u64>,
     // The entries of leafs that are older than what is known of the leaf.
@@ -65,7 +63,6 @@
     pub fn new(shared: Rc<Shared>) -> Self {
         Self {
             shared,
-            era: None,
             revisions: HashMap::new(),
             passed_over: HashMap::new(),
             keep_lapsed_until: None,
@@ -73,11 +70,6 @@
         }
     }
 
-    /// Returns the era of the store that the entries are from.
-    pub fn era(&self) -> Option<Era> {
-        self.era
-    }
-
     /// Records that an outage of the store has ended in which entries may have lapsed.
     pub fn on_outage_end(&mut self) {
         self.keep_lapsed_until = Some(self.shared.now() + LAPSED_LEAF_RETENTION);
@@ -85,7 +77,9 @@
 
     /// Records that the store was restored from a copy. All entries have to be read again.
     pub fn on_restored(&mut self, era: Era) {
-        self.era = Some(era);
+        self.shared.store_era.set(Some(era));
+        self.shared.watch.borrow_mut().on_restored();
+        self.shared.watch_changed.notify_waiters();
         metrics::counter!("camphorhold_store_restores_total").increment(1);
         let config_version = self.shared.plan_version();
         log::warn!(era:% = era, config_version = config_version; "the store was restored from a copy; reading all entries, keeping what is missing for now");
@@ -142,7 +136,7 @@
     /// Applies all entries. Entries that are missing were removed, except while they may be written
     /// again after a restore.
     pub fn apply_listing(&mut self, listing: &Listing, era: Option<Era>) {
-        self.era = era;
+        self.shared.store_era.set(era);
         if self.restore == Some(Restore::Noticed) {
             let rewritten_by = self.shared.now() + LAPSED_LEAF_RETENTION;
             self.keep_lapsed_until = Some(rewritten_by);
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -12,6 +12,7 @@
 use camphorhold_platform::settings::Settings;
 use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
+use tokio::net::UdpSocket;
 use tokio::runtime::Runtime;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -19,6 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
+use crate::confirmation;
 use crate::crash_records;
 use crate::exposition;
 use crate::follower::Follower;
@@ -112,6 +114,7 @@
     let callers = listen(settings.caller_address)?;
     let readiness = listen(settings.readiness_address)?;
     let peers = listen(settings.peer_address)?;
+    let datagrams = bind_datagrams(settings.peer_address).await?;
     log::info!(
         instance = &*settings.name,
         domain = &*settings.domain,
@@ -120,7 +123,7 @@
         callers:% = settings.caller_address;
         "started"
     );
-    let shared = Rc::new(Shared::new(settings, Box::new(SystemClock)));
+    let shared = Rc::new(Shared::new(settings, Box::new(SystemClock), datagrams));
     let connections = Rc::new(Connections::default());
     let mirror = Rc::new(RefCell::new(Mirror::new(Rc::clone(&shared))));
     let state = Rc::clone(&shared);
@@ -128,6 +131,10 @@
         Follower::new(Rc::clone(&state), Rc::clone(&mirror)).run()
     });
     let state = Rc::clone(&shared);
+    spawn("confirmations", move || {
+        confirmation::run(Rc::clone(&state))
+    });
+    let state = Rc::clone(&shared);
     spawn("registration", move || registration::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
     spawn("tokens", move || tokens::run(Rc::clone(&state)));
@@ -192,6 +199,11 @@
     server::listen(address).map_err(|source| StartError::Listen { address, source })
 }
 
+async fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket, StartError> {
+    let socket = UdpSocket::bind(address).await;
+    socket.map_err(|source| StartError::Listen { address, source })
+}
+
 async fn wait_for_termination(
     terminate: &mut Signal,
     reload: &mut Signal,
@@ -222,6 +234,9 @@
         drop(fleet);
         let limits = shared.plan.borrow().as_ref().map(|plan| plan.limits());
         connections.sweep(limits, now);
+        if let Some(age) = shared.watch.borrow().confirmation_age(now) {
+            metrics::gauge!("camphorhold_store_confirmation_age_seconds").set(age.as_secs_f64());
+        }
     }
 }
 
--- a/instance/src/release.rs
+++ b/instance/src/release.rs
@@ -6,11 +6,14 @@
 /// The version of the messages between instances and of the items in the store. Rises with each
 /// release that adds to them; `docs/design/releases.md` lists what each one knows. Registrations
 /// without it are from version 1.
-pub const PROTOCOL: u32 = 2;
+pub const PROTOCOL: u32 = 3;
 
 /// The first version with notices of leafs that limit their requests.
 pub const NOTICES: u32 = 2;
 
+/// The first version whose instances confirm the revision of the store to each other.
+pub const CONFIRMATIONS: u32 = 3;
+
 /// Publishes the release in the metrics.
 pub fn describe() {
     let protocol = PROTOCOL.to_string();
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -19,15 +19,18 @@
 use camphorhold::coordination::serving::rate_limit::Grantor;
 use camphorhold::coordination::serving::reachability::Reachability;
 use camphorhold::coordination::serving::split::Split;
+use camphorhold::coordination::serving::watch;
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Route;
 use camphorhold::state::time::Clock;
 use camphorhold::transport::read_budget::ReadBudget;
 use camphorhold_platform::settings::Bounds;
 use camphorhold_platform::settings::Settings;
+use camphorhold_platform::store::Era;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::pool::Pool;
@@ -124,6 +127,14 @@
     pub leaf_pool: Pool<LeafKey>,
     /// Idle connections to other instances.
     pub peer_pool: Pool<SocketAddr>,
+    /// The socket for confirmations between instances, at the address for other instances.
+    pub datagrams: UdpSocket,
+    /// Whether the watch of the store still returns changes.
+    pub watch: RefCell<watch::Monitor>,
+    /// Wakes whoever waits for [`Shared::watch`] to change.
+    pub watch_changed: Notify,
+    /// The era of the store that the entries are from; `None` if it states none.
+    pub store_era: Cell<Option<Era>>,
     /// When the store last answered; the start of the process before its first answer.
     pub last_store_answer: Cell<Instant>,
     /// Wakes the registration of the instance when it is no longer in the store, or may not be
@@ -151,7 +162,7 @@
 
 impl Shared {
     /// Creates the state of an instance that has read its settings but nothing from the store.
-    pub fn new(settings: Settings, clock: Box<dyn Clock>) -> Self {
+    pub fn new(settings: Settings, clock: Box<dyn Clock>, datagrams: UdpSocket) -> Self {
         let now = clock.now();
         let mut fleet = Fleet::new(settings.domain.clone());
         fleet.set_instances(INITIAL_INSTANCES, INITIAL_INSTANCES);
@@ -178,6 +189,10 @@
             read_budget: ReadBudget::new(read_bytes),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
+            datagrams,
+            watch: RefCell::default(),
+            watch_changed: Notify::new(),
+            store_era: Cell::new(None),
             last_store_answer: Cell::new(now),
             registration_lost: Notify::new(),
             phase: Cell::new(Phase::Starting),
@@ -205,6 +220,14 @@
         self.clock.now()
     }
 
+    /// Records what a read of the store has shown, of this instance or another one.
+    pub fn on_sighting(&self, sighting: watch::Sighting) {
+        let settling_time = self.bounds.get().settling_time;
+        let mut watch = self.watch.borrow_mut();
+        watch.on_sighting(sighting, settling_time, self.now());
+        self.watch_changed.notify_waiters();
+    }
+
     /// Returns a random number from 0 (inclusive) to 1 (exclusive).
     pub fn jitter(&self) -> f32 {
         self.random.borrow_mut().random()
--- a/instance/tests/changes.rs
+++ b/instance/tests/changes.rs
@@ -10,6 +10,7 @@
 use support::Instance;
 use support::Platform;
 use support::wait_until;
+use tokio::net::UdpSocket;
 
 const TWO_SHARDS: [(&str, &str); 4] = [("s1", "a"), ("s1", "b"), ("s2", "a"), ("s2", "b")];
 
@@ -19,6 +20,9 @@
 /// Longer than the settling time: such a read reveals a lost watch too late.
 const READ_AGE: Duration = Duration::from_millis(5_500);
 
+const RECEIVED: &str = r#"camphorhold_confirmations_total{outcome="received"}"#;
+const INVALID: &str = r#"camphorhold_confirmations_total{outcome="invalid"}"#;
+
 /// Waits until reads that are [`READ_AGE`] old show what current ones show, so that nothing tells
 /// them apart.
 async fn wait_until_quiet(platform: &Platform) {
@@ -111,3 +115,78 @@
     .await;
     assert_in_force_in_time(&platform, &instances).await;
 }
+
+/// Guards against current reads of the store by every instance: those of a group tell each other
+/// what one of them has read.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_tell_each_other_what_a_current_read_has_shown() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instances = start_instances(&platform, 3).await;
+    wait_until("all but one hear of a read", || async {
+        let mut listening = 0;
+        for instance in &instances {
+            let received = instance.counter(RECEIVED).await;
+            listening += usize::from(received > 0);
+        }
+        listening >= 2
+    })
+    .await;
+}
+
+/// Guards against datagrams that end a task or the process, or are taken for what an instance has
+/// seen of the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn datagrams_that_are_no_confirmations_are_ignored() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let instances = start_instances(&platform, 1).await;
+    let instance = &instances[0];
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let registered = socket.local_addr().unwrap();
+    let long = vec![b' '; 2_000];
+    let datagrams: [&[u8]; 7] = [
+        b"",
+        b"{",
+        b"\xff\xff",
+        br#"{"revision":-1,"read_ms_ago":0}"#,
+        br#"{"revision":18446744073709551615,"read_ms_ago":18446744073709551615}"#,
+        br#"{"revision":18446744073709551615,"era":"7","read_ms_ago":1}"#,
+        &long,
+    ];
+    // From an address that is not registered, even a proper one counts as invalid.
+    let proper = br#"{"revision":1000000,"read_ms_ago":1}"#;
+    socket
+        .send_to(proper, instance.peer_address())
+        .await
+        .unwrap();
+    wait_until("it is ignored", || async {
+        instance.counter(INVALID).await == 1
+    })
+    .await;
+    let registration = serde_json::json!({"domain": "a", "address": registered, "protocol": 3});
+    platform
+        .store
+        .put("camphorhold/instances/other", &registration);
+    wait_until("the sender is known", || async {
+        socket
+            .send_to(proper, instance.peer_address())
+            .await
+            .unwrap();
+        instance.counter(RECEIVED).await > 0
+    })
+    .await;
+    let invalid = instance.counter(INVALID).await;
+    let received = instance.counter(RECEIVED).await;
+    for datagram in datagrams {
+        socket
+            .send_to(datagram, instance.peer_address())
+            .await
+            .unwrap();
+    }
+    wait_until("all are read", || async {
+        instance.counter(INVALID).await >= invalid + 5
+            && instance.counter(RECEIVED).await >= received + 2
+    })
+    .await;
+    let answer = instance.send("r", "/one/x").await.expect("an answer");
+    assert!(answer.status().is_success());
+}
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -19,6 +19,7 @@
 //! and two such reports have the effect of a failure of one's own.
 
 mod instance;
+mod readers;
 mod relay;
 mod rendezvous;
 
@@ -32,6 +33,7 @@
 pub use self::instance::Capacity;
 use self::instance::Instance;
 pub use self::instance::Location;
+pub use self::readers::Readers;
 use self::rendezvous::combine;
 use self::rendezvous::rank;
 use super::fleet::Fleet;
@@ -115,6 +117,8 @@
     by_name: HashMap<Box<str>, Instance>,
     // How many handed-over shards may be requested a second time now.
     hedge_credit: f32,
+    // Counts the changes of registrations.
+    generation: u64,
 }
 
 impl Instances {
@@ -126,9 +130,16 @@
             own_domain,
             by_name: HashMap::new(),
             hedge_credit: INITIAL_HEDGE_CREDIT,
+            generation: 0,
         }
     }
 
+    /// Returns a number that changes with the registrations.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Records the registration of an instance. Without a location it gets no handovers. Earlier
     /// failures of handovers to the instance are forgotten.
     pub fn add(&mut self, name: &str, location: Option<Location>) {
@@ -142,11 +153,13 @@
             reports: Vec::new(),
         };
         self.by_name.insert(name.into(), instance);
+        self.generation += 1;
     }
 
     /// Records that the registration of an instance is gone. It gets no further handovers, but
     /// still counts for a minute. Forgets those that no longer count.
     pub fn remove(&mut self, name: &str, now: Instant) {
+        self.generation += 1;
         self.by_name.retain(|_, instance| instance.counts(now));
         if let Some(instance) = self.by_name.get_mut(name) {
             instance.removed_at.get_or_insert(now);
--- a/lib/src/state/time.rs
+++ b/lib/src/state/time.rs
@@ -7,6 +7,9 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
 /// The assumed bound on the difference between the wall clocks of any two instances or backend
 /// servers.
 ///
@@ -22,6 +25,10 @@
 
     /// Returns wall-clock time.
     fn wall(&self) -> SystemTime;
+
+    /// Returns the time since the machine was started. Unlike [`Self::now`], it includes the time in
+    /// which the machine was suspended.
+    fn since_boot(&self) -> Duration;
 }
 
 /// The clock of the operating system.
@@ -36,6 +43,11 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn since_boot(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::try_from(time).unwrap_or_default()
+    }
 }
 
 /// A clock for tests that moves only in [`ManualClock::advance`].
@@ -75,6 +87,10 @@
     fn wall(&self) -> SystemTime {
         self.wall_start + self.elapsed()
     }
+
+    fn since_boot(&self) -> Duration {
+        self.elapsed()
+    }
 }
 
 /// Converts a wall-clock time to milliseconds since the Unix epoch; times before it
