--- a/instance/tests/releases.rs
+++ b/instance/tests/releases.rs
@@ -12,6 +12,7 @@
 use hyper::StatusCode;
 use serde::Deserialize;
 use serde_json::Value;
+use serde_json::json;
 use support::Instance;
 use support::Platform;
 use support::recorder::CRASHES;
@@ -243,6 +244,37 @@
     }
 }
 
+/// Guards against datagrams to an instance of an earlier release, which has no socket for them and
+/// makes no current reads that this one could rely on.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_of_earlier_releases_get_no_confirmations() {
+    let platform = Platform::start(&[("s1", "a")]).await;
+    let peers = recordings();
+    let mut earlier = Vec::new();
+    for (number, (_, recording)) in peers.iter().enumerate() {
+        let peer = Peer::start().await;
+        peer.register_as(
+            &platform,
+            &format!("earlier-{number}"),
+            "a",
+            &recording.registration,
+        );
+        earlier.push(peer);
+    }
+    let current = Peer::start().await;
+    let registration = json!({"capacity": 1.0, "protocol": 3});
+    current.register_as(&platform, "current", "a", &registration);
+    let _instance = Instance::start(&platform, "1", "a").await;
+    wait_until("an instance of this release hears of reads", || async {
+        current.datagrams().len() > 1
+    })
+    .await;
+    for (peer, (release, recording)) in earlier.iter().zip(&peers) {
+        let is_earlier = recording.registration["protocol"].as_u64() < Some(3);
+        assert_eq!(peer.datagrams().is_empty(), is_earlier, "{release}");
+    }
+}
+
 /// Guards against a field or header that is sent but not listed, with what other releases do with it.
 #[tokio::test(flavor = "multi_thread")]
 async fn each_field_of_a_message_is_listed() {
@@ -256,6 +288,7 @@
         &recording.token_claims,
         &recording.token_grants,
         recording.notices.as_ref().unwrap(),
+        recording.confirmation.as_ref().unwrap(),
     ] {
         field_names(value, &mut names);
     }
--- a/instance/tests/support/recorder.rs
+++ b/instance/tests/support/recorder.rs
@@ -18,6 +18,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
 
 use super::Instance;
 use super::Platform;
@@ -31,6 +32,9 @@
 /// The headers of messages between instances begin like this.
 const OWN_PREFIX: &str = "camphorhold-";
 
+/// The first protocol whose instances confirm the revision of the store to each other.
+const FIRST_WITH_CONFIRMATIONS: u64 = 3;
+
 /// The time within which notices are sent after a claim, by releases that send them.
 const NOTICE_TIME: Duration = Duration::from_millis(400);
 
@@ -88,6 +92,8 @@
     pub token_grants: Value,
     /// Absent in releases without notices.
     pub notices: Option<Value>,
+    /// Absent in releases without confirmations.
+    pub confirmation: Option<Value>,
 }
 
 /// Another instance: takes nothing over, and keeps what it is sent.
@@ -95,6 +101,7 @@
 pub struct Peer {
     pub address: SocketAddr,
     messages: Arc<Mutex<Vec<Message>>>,
+    datagrams: Arc<Mutex<Vec<Vec<u8>>>>,
     // The answer to handovers, instead of a refusal.
     answer: Arc<Mutex<Option<Message>>>,
 }
@@ -103,12 +110,15 @@
     pub async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
+        let socket = UdpSocket::bind(address).await.unwrap();
         let peer = Self {
             address,
             messages: Arc::default(),
+            datagrams: Arc::default(),
             answer: Arc::default(),
         };
         tokio::spawn(peer.clone().serve(listener));
+        tokio::spawn(peer.clone().receive(socket));
         peer
     }
 
@@ -119,12 +129,31 @@
 
     /// Registers it in the store as an instance of a failure domain.
     pub fn register(&self, platform: &Platform, domain: &str, registration: &Value) {
+        self.register_as(platform, "peer", domain, registration);
+    }
+
+    /// Registers it as [`Self::register`] does, under this name.
+    pub fn register_as(&self, platform: &Platform, name: &str, domain: &str, registration: &Value) {
         let mut registration = registration.clone();
         registration["domain"] = domain.into();
         registration["address"] = self.address.to_string().into();
-        platform
-            .store
-            .put("camphorhold/instances/peer", &registration);
+        let key = format!("camphorhold/instances/{name}");
+        platform.store.put(&key, &registration);
+    }
+
+    pub fn datagrams(&self) -> Vec<Vec<u8>> {
+        let datagrams = self.datagrams.lock();
+        datagrams.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    async fn receive(self, socket: UdpSocket) {
+        let mut buffer = [0; 2_048];
+        while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
+            self.datagrams
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(buffer[..length].to_vec());
+        }
     }
 
     pub fn messages(&self) -> Vec<Message> {
@@ -281,9 +310,16 @@
     let notices = peer.find(notices);
 
     let registration = platform.store.items("camphorhold/instances/1").remove(0).1;
-    let parse = |bytes: &[u8]| serde_json::from_slice(bytes).unwrap();
+    let parse = |bytes: &[u8]| serde_json::from_slice::<Value>(bytes).unwrap();
+    let registration = parse(&registration);
+    if registration["protocol"].as_u64() >= Some(FIRST_WITH_CONFIRMATIONS) {
+        wait_until("a read of the store is confirmed", || async {
+            !peer.datagrams().is_empty()
+        })
+        .await;
+    }
     Recording {
-        registration: parse(&registration),
+        registration,
         crash_record: parse(&crash_record),
         handover_request,
         handover_answer,
@@ -292,5 +328,6 @@
         token_claims: parse(token_claims.body.as_bytes()),
         token_grants: parse(token_grants.body.as_bytes()),
         notices: notices.map(|message| parse(message.body.as_bytes())),
+        confirmation: peer.datagrams().first().map(|datagram| parse(datagram)),
     }
 }
