instance: let tests keep the logs of instances and report failed starts

Now the log of each instance is kept until its test passes, an instance whose process ends fails its test at once with the exit code and the log, and one that finds a port taken since it was chosen is started with others.

--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -6,6 +6,9 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,6 +38,9 @@
 /// The longest that a test waits for a condition. A test that passes never takes as long.
 const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// The exit code of an instance that cannot start.
+const EXIT_START_FAILED: i32 = 2;
+
 /// The pause between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -113,6 +119,32 @@
 /// An instance that runs as a process. Dropping it kills the process.
 pub struct Instance {
     process: Process,
+    log: PathBuf,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("log of an instance: {}", self.log.display());
+        } else {
+            // The log may be gone already.
+            let _ = std::fs::remove_file(&self.log);
+        }
+    }
+}
+
+/// Why an instance did not become ready.
+#[derive(Debug)]
+struct NotReady {
+    exit_code: Option<i32>,
+    log: String,
+}
+
+impl NotReady {
+    /// Returns whether the program has ended because it could not listen on one of its addresses.
+    fn is_address_in_use(&self) -> bool {
+        self.exit_code == Some(EXIT_START_FAILED) && self.log.contains("Address already in use")
+    }
 }
 
 impl Instance {
@@ -121,24 +153,62 @@
         Self::start_program(platform, Path::new(program()), name, domain).await
     }
 
-    /// Starts an instance as [`Self::start`] does, of another release.
+    /// Starts an instance as [`Self::start`] does, of another release. Another program may take one
+    /// of the ports between their choice and the start; then starts it with other ports.
     pub async fn start_program(
         platform: &Platform,
         program: &Path,
         name: &str,
         domain: &str,
     ) -> Self {
+        loop {
+            let mut instance = Self::spawn(program, name, domain, platform.store.address());
+            match instance.wait_until_ready().await {
+                Ok(()) => return instance,
+                Err(not_ready) if not_ready.is_address_in_use() => {
+                    eprintln!("an address is in use; starting the instance with others");
+                }
+                Err(not_ready) => panic!("the instance is not ready: {not_ready:?}"),
+            }
+        }
+    }
+
+    fn spawn(program: &Path, name: &str, domain: &str, store: SocketAddr) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let log = format!("camphorhold-test-{}-{number}.log", std::process::id());
+        let log = std::env::temp_dir().join(log);
         let process = Process::start(ProcessConfig {
             program: program.into(),
             name: name.into(),
             domain: domain.into(),
-            store: platform.store.address(),
-            log: None,
+            store,
+            log: Some(log.clone()),
         });
-        let process = process.unwrap();
-        let readiness = process.readiness_address();
-        wait_until("the instance is ready", || is_ready(readiness)).await;
-        Self { process }
+        Self {
+            process: process.unwrap(),
+            log,
+        }
+    }
+
+    /// Waits until the instance is ready, or until its process has ended.
+    async fn wait_until_ready(&mut self) -> Result<(), NotReady> {
+        let readiness = self.process.readiness_address();
+        let started = SystemClock.now();
+        loop {
+            let exit_status = self.process.exit_status().unwrap();
+            let waited = SystemClock.now().saturating_duration_since(started);
+            if exit_status.is_some() || waited > WAIT_TIMEOUT {
+                return Err(NotReady {
+                    exit_code: exit_status.and_then(|status| status.code()),
+                    log: std::fs::read_to_string(&self.log).unwrap_or_default(),
+                });
+            }
+            if is_ready(readiness).await {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
     }
 
     /// Starts an instance whose store does not answer, so that it has no configuration, and waits until
@@ -147,20 +217,13 @@
         let unused = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let store = unused.local_addr().unwrap();
         drop(unused);
-        let process = Process::start(ProcessConfig {
-            program: program().into(),
-            name: name.into(),
-            domain: domain.into(),
-            store,
-            log: None,
-        });
-        let process = process.unwrap();
-        let peers = process.peer_address();
+        let instance = Self::spawn(Path::new(program()), name, domain, store);
+        let peers = instance.process.peer_address();
         wait_until("the instance accepts connections", || async {
             TcpStream::connect(peers).await.is_ok()
         })
         .await;
-        Self { process }
+        instance
     }
 
     /// Returns the address for other instances.
@@ -315,8 +378,9 @@
     /// Starts the program again after [`Self::kill`] and waits until it is ready.
     pub async fn restart(&mut self) {
         self.process.restart().unwrap();
-        let readiness = self.process.readiness_address();
-        wait_until("the instance is ready", || is_ready(readiness)).await;
+        self.wait_until_ready()
+            .await
+            .expect("the instance is ready");
     }
 
     /// Stops the process without ending it, so that it holds its connections and does not respond.
--- a/testutils/src/platform/process.rs
+++ b/testutils/src/platform/process.rs
@@ -33,7 +33,8 @@
     pub domain: String,
     /// The address of the platform's store.
     pub store: SocketAddr,
-    /// The file to which its standard output is appended; `None` discards it.
+    /// The file to which its output is appended; `None` discards its standard output and leaves its
+    /// errors where those of this process go.
     pub log: Option<PathBuf>,
 }
 
@@ -108,14 +109,18 @@
     ///
     /// Returns an error if the log file cannot be opened or the program cannot be started.
     pub fn restart(&mut self) -> std::io::Result<()> {
-        let output = match &self.config.log {
-            Some(path) => File::options().create(true).append(true).open(path)?.into(),
-            None => Stdio::null(),
+        let (output, errors) = match &self.config.log {
+            Some(path) => {
+                let file = File::options().create(true).append(true).open(path)?;
+                (file.try_clone()?.into(), file.into())
+            }
+            None => (Stdio::null(), Stdio::inherit()),
         };
         let child = Command::new(&self.config.program)
             .arg(format!("--metrics-port={}", self.metrics_address.port()))
             .env("CAMPHORHOLD_CONFIG", &self.file)
             .stdout(output)
+            .stderr(errors)
             .spawn()?;
         self.child = Some(child);
         Ok(())
