instance: warn other instances of requests that may have ended leafs

Cause: the record of a suspect request is read by all a second after the first attempt; its caller tries again at another instance within milliseconds, which treats it as new and sends it to the remaining copies.

Ruled out: canaries of the instances that took over shards, alone: the first attempt ends 20 to 22 leafs of 40 before this change, too.

Change: an instance that loses connections under a request which no leaf has survived tells all others by datagram. They send it to one leaf first, and hold it for 2 s when that one was lost as well, does not accept connections, and another leaf does. Instances that were handed shards send no canary.

Tried and dropped: a hold without asking another leaf. It refused a harmless request whose instance had lost its links (requests_are_not_blamed_for_the_loss_ of_the_links failed once); the confirmation and the end of an alarm with its evidence mend that.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use camphorhold::coordination::serving::alarms::Caution;
+use camphorhold::coordination::serving::alarms::Level;
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::Standing;
 use camphorhold::coordination::serving::suspects::Admission;
@@ -23,6 +25,7 @@
 
 use crate::call::ForwardedRequest;
 use crate::crash_records;
+use crate::datagram;
 use crate::gather::FinishedRequest;
 use crate::gather::Loss;
 use crate::probe;
@@ -59,6 +62,8 @@
     forwarded: Rc<ForwardedRequest>,
     started: Instant,
     trial: Option<Trial>,
+    // There is an alarm about the request.
+    is_careful: bool,
 }
 
 /// The state of an attempt of a suspect request.
@@ -86,11 +91,25 @@
         forwarded: Rc::clone(forwarded),
         started,
         trial: None,
+        is_careful: false,
     };
-    if shared.suspects.borrow().is_empty() {
+    if shared.suspects.borrow().is_empty() && shared.alarms.borrow().is_empty() {
         return Ok(attempt);
     }
     let fingerprint = forwarded.fingerprint();
+    match caution(shared, fingerprint) {
+        Caution::Free => {}
+        Caution::OneLeafFirst => attempt.is_careful = true,
+        Caution::Hold { until } => {
+            let pause = until.saturating_duration_since(shared.now());
+            return Err(refuse(
+                forwarded,
+                fingerprint,
+                "leafs have just ended",
+                pause,
+            ));
+        }
+    }
     let admit = || {
         shared
             .suspects
@@ -118,15 +137,40 @@
             ("is blocked", pause)
         }
     };
+    Err(refuse(forwarded, fingerprint, reason, pause))
+}
+
+/// Records that a request is refused. Returns the time after which its caller may send it again.
+fn refuse(
+    forwarded: &ForwardedRequest,
+    fingerprint: Fingerprint,
+    reason: &'static str,
+    pause: Duration,
+) -> Duration {
     metrics::counter!("camphorhold_requests_total", "outcome" => "blocked").increment(1);
     log::info!(request = forwarded.id(), fingerprint:% = fingerprint, reason = reason; "request refused: leafs have ended under it");
-    Err(pause)
+    pause
+}
+
+/// Returns how an attempt has to be made according to the alarms. A request that leafs have survived
+/// recently is not held: leafs end for other reasons, too.
+fn caution(shared: &Shared, fingerprint: Fingerprint) -> Caution {
+    let now = shared.now();
+    let caution = shared.alarms.borrow().caution(fingerprint, now);
+    match caution {
+        Caution::Hold { .. } if shared.suspects.borrow().has_survived(fingerprint, now) => {
+            Caution::OneLeafFirst
+        }
+        _ => caution,
+    }
 }
 
 /// Records that a leaf has survived a request.
 pub fn record_survival(shared: &Shared, forwarded: &ForwardedRequest) {
+    let fingerprint = forwarded.fingerprint();
+    datagram::clear_alarm(shared, fingerprint);
     let mut suspects = shared.suspects.borrow_mut();
-    suspects.on_survived(forwarded.fingerprint(), shared.now());
+    suspects.on_survived(fingerprint, shared.now());
     if suspects.has_changes() {
         shared.suspects_changed.notify_one();
     }
@@ -134,7 +178,11 @@
 
 impl Attempt {
     /// Returns whether a leaf has to survive the request before it is sent to another one.
-    pub fn is_trial(&self) -> bool {
+    pub fn needs_canary(&self) -> bool {
+        self.is_trial() || self.is_careful
+    }
+
+    fn is_trial(&self) -> bool {
         self.trial.is_some()
     }
 
@@ -186,7 +234,10 @@
             let lost_leafs = loss.leafs.len();
             match find_ended_leafs(&self.shared, &self.forwarded.route.target, loss).await {
                 Ok(()) => self.record_crash(lost_leafs),
-                Err(reason) => self.log_dismissed(lost_leafs, reason),
+                Err(reason) => {
+                    self.log_dismissed(lost_leafs, reason);
+                    datagram::clear_alarm(&self.shared, self.forwarded.fingerprint());
+                }
             }
         });
     }
@@ -202,6 +253,7 @@
             return;
         };
         log::info!(request = self.forwarded.id(), fingerprint:% = fingerprint; "a leaf has survived the request; it is no longer suspect");
+        datagram::clear_alarm(&self.shared, fingerprint);
         let now = self.shared.now();
         let mut suspects = self.shared.suspects.borrow_mut();
         suspects.on_trial_end(fingerprint, TrialEnd::Survived, now);
@@ -262,6 +314,43 @@
     }
 }
 
+/// Raises an alarm that holds the request at all instances, if the leafs that were lost accept no
+/// connections while another one does. Links that fail one after the other may look the same, so
+/// whether leafs have ended is found out later, see [`Attempt::end`].
+pub fn confirm_alarm(
+    shared: &Rc<Shared>,
+    forwarded: &Rc<ForwardedRequest>,
+    loss: Loss,
+) -> impl Future<Output = ()> + use<> {
+    let shared = Rc::clone(shared);
+    let forwarded = Rc::clone(forwarded);
+    async move {
+        let services = forwarded.route.target.services();
+        if is_down_alone(&shared, &services, &loss.leafs, &loss.called).await {
+            datagram::raise_alarm(&shared, forwarded.fingerprint(), Level::Confirmed);
+        }
+    }
+}
+
+/// Returns whether one of the leafs is down while a leaf of another service accepts connections.
+async fn is_down_alone(
+    shared: &Shared,
+    services: &[&str],
+    leafs: &[LeafKey],
+    called: &[LeafKey],
+) -> bool {
+    let references =
+        shared
+            .fleet
+            .borrow()
+            .sample_of_others(services, called, MAX_REFERENCES, shared.jitter());
+    let (responses, any_reference_accepts) = tokio::join!(
+        join_all(leafs.iter().map(|leaf| probe::connect(shared, *leaf))),
+        probe::any_accepts_connections(shared, &references)
+    );
+    responses.contains(&probe::Response::Down) && any_reference_accepts
+}
+
 /// Finds out whether one of the leafs that were lost has ended: it is down while leafs of other
 /// services accept connections, or its entry goes within [`ENTRY_LAPSE`]. A leaf that has started
 /// again, or that this instance cannot reach, shows by its entry only.
@@ -287,17 +376,7 @@
     }
     tokio::time::sleep(PROBE_DELAY).await;
     let services = target.services();
-    let references = shared.fleet.borrow().sample_of_others(
-        &services,
-        &loss.called,
-        MAX_REFERENCES,
-        shared.jitter(),
-    );
-    let (responses, any_reference_accepts) = tokio::join!(
-        join_all(lost_leafs.iter().map(|leaf| probe::connect(shared, *leaf))),
-        probe::any_accepts_connections(shared, &references)
-    );
-    if responses.contains(&probe::Response::Down) && any_reference_accepts {
+    if is_down_alone(shared, &services, &lost_leafs, &loss.called).await {
         return Ok(());
     }
     let lapses_by = shared.now() + ENTRY_LAPSE;
--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -16,7 +16,7 @@
 use camphorhold_platform::store::Store;
 use camphorhold_platform::store::StoreError;
 
-use crate::confirmation;
+use crate::datagram;
 use crate::mirror::Mirror;
 use crate::release;
 use crate::shared::Shared;
@@ -50,7 +50,7 @@
         let generation = instances.generation();
         if self.generation != Some(generation) {
             self.generation = Some(generation);
-            self.readers = instances.readers(release::CONFIRMATIONS);
+            self.readers = instances.readers(release::DATAGRAMS);
         }
         &self.readers
     }
@@ -297,7 +297,7 @@
                 sent,
             });
             if read == Read::Current {
-                confirmation::send(shared, &readers.others, revision, sent_since_boot);
+                datagram::send_confirmation(shared, &readers.others, revision, sent_since_boot);
             }
         }
         let now = shared.now();
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use camphorhold::coordination::serving::Fanout;
+use camphorhold::coordination::serving::alarms::Level;
 use camphorhold::coordination::serving::fanout;
 use camphorhold::coordination::serving::fanout::Context;
 use camphorhold::coordination::serving::fanout::LeafCall;
@@ -19,9 +20,12 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use hyper::Response;
+use tokio::task::JoinHandle;
 
 use crate::call;
 use crate::call::ForwardedRequest;
+use crate::crashes;
+use crate::datagram;
 use crate::handover;
 use crate::handover::Query;
 use crate::shared::Shared;
@@ -37,6 +41,10 @@
 /// The same share for an instance in another failure domain, which waits for its owners first.
 const FOREIGN_LATE_SHARE: f64 = 0.55;
 
+/// How long the answer to a request that has probably ended leafs waits until the other instances
+/// have been told. Its caller tries again at once.
+const ALARM_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// The most call errors in the log line of a request. A query may have hundreds.
 const MAX_LOGGED_ERRORS: usize = 6;
 
@@ -97,6 +105,7 @@
 /// A request in progress: its fan-out, the calls and handovers to make next, and the answers so far.
 struct Gathering<'a> {
     shared: &'a Rc<Shared>,
+    forwarded: &'a Rc<ForwardedRequest>,
     started: Instant,
     answer_by: Instant,
     services: Vec<Box<str>>,
@@ -108,6 +117,8 @@
     failure: Option<Response<Bytes>>,
     call_errors: Vec<String>,
     lost: Vec<LeafKey>,
+    // Tells the other instances that the request has probably ended leafs.
+    alarm: Option<JoinHandle<()>>,
 }
 
 /// Hands `groups` over and makes the other calls of a request, until the fan-out reaches a verdict.
@@ -120,7 +131,7 @@
 ) -> FinishedRequest {
     let answer_by = request.answer_by;
     let (expected, _) = shared.latency(&forwarded.route);
-    let mut gathering = Gathering::start(shared, request, groups);
+    let mut gathering = Gathering::start(shared, forwarded, request, groups);
     let mut calls = FuturesUnordered::new();
     let mut handovers = FuturesUnordered::new();
     let timer = tokio::time::sleep_until(gathering.next_timer().into());
@@ -147,6 +158,10 @@
             () = &mut timer => gathering.on_timer(),
         }
     };
+    if let (Verdict::GiveUp { .. }, Some(alarm)) = (verdict, gathering.alarm.take()) {
+        // Whether it was raised in time makes no difference to the answer.
+        let _ = tokio::time::timeout(ALARM_TIMEOUT, alarm).await;
+    }
     if !calls.is_empty() && gathering.fanout.coverage().answered > 0 {
         tokio::task::spawn_local(async move {
             // Ignores the answers: the calls run on only so that their connections can be reused.
@@ -167,7 +182,12 @@
 }
 
 impl<'a> Gathering<'a> {
-    fn start(shared: &'a Rc<Shared>, request: fanout::Request, groups: Vec<ShardGroup>) -> Self {
+    fn start(
+        shared: &'a Rc<Shared>,
+        forwarded: &'a Rc<ForwardedRequest>,
+        request: fanout::Request,
+        groups: Vec<ShardGroup>,
+    ) -> Self {
         let shards = request.shards.len();
         let services = request.shards.iter().map(|shard| shard.service.clone());
         let services = services.collect();
@@ -176,6 +196,7 @@
         let (fanout, new_calls) = with_context(shared, |context| Fanout::start(request, context));
         Self {
             shared,
+            forwarded,
             started,
             answer_by,
             services,
@@ -187,6 +208,7 @@
             failure: None,
             call_errors: Vec::new(),
             lost: Vec::new(),
+            alarm: None,
         }
     }
 
@@ -263,7 +285,8 @@
             let id = fleet.get(end.leaf).map_or("gone", |leaf| &leaf.entry().id);
             self.call_errors.push(format!("{id} {call_error}"));
         }
-        if end.outcome == Outcome::Lost {
+        let is_lost = end.outcome == Outcome::Lost;
+        if is_lost {
             self.on_lost(end.leaf);
         }
         let answered_before = self.fanout.coverage().answered;
@@ -272,6 +295,9 @@
             self.fanout
                 .on_outcome(end.shard, end.leaf, end.outcome, context, new_calls);
         });
+        if is_lost {
+            self.raise_alarm();
+        }
         match end.outcome {
             Outcome::Answered if self.fanout.coverage().answered > answered_before => {
                 self.parts.extend(end.answer.map(|answer| Part {
@@ -293,6 +319,31 @@
         }
     }
 
+    /// Tells the other instances that the request may have ended leafs, unless one has survived it. A
+    /// query with a single lost connection is told of only when the leaf of another shard is lost, too:
+    /// leafs end for other reasons.
+    fn raise_alarm(&mut self) {
+        let Some(level) = self.fanout.suspicion() else {
+            return;
+        };
+        if self.services.len() > 1 && self.lost.len() < 2 {
+            return;
+        }
+        datagram::raise_alarm(self.shared, self.forwarded.fingerprint(), Level::Suspected);
+        if level == Level::Confirmed {
+            let loss = self.loss();
+            let confirmation = crashes::confirm_alarm(self.shared, self.forwarded, loss);
+            self.alarm = Some(tokio::task::spawn_local(confirmation));
+        }
+    }
+
+    fn loss(&self) -> Loss {
+        Loss {
+            leafs: self.lost.clone(),
+            called: self.fanout.called_leafs().collect(),
+        }
+    }
+
     fn on_handover_end(&mut self, end: handover::End) {
         let handover::End {
             group,
@@ -304,6 +355,7 @@
         for leaf in lost {
             self.fanout.on_lost_elsewhere();
             self.on_lost(leaf);
+            self.raise_alarm();
         }
         self.pending.retain(|pending| pending.group != group);
         if answered.is_empty() && self.call_errors.len() < MAX_LOGGED_ERRORS {
@@ -381,10 +433,7 @@
             parts: self.parts.drain(..).map(|part| part.answer).collect(),
             failure: self.failure.take(),
             call_errors: std::mem::take(&mut self.call_errors),
-            loss: (!has_survivor && !self.lost.is_empty()).then(|| Loss {
-                leafs: std::mem::take(&mut self.lost),
-                called: self.fanout.called_leafs().collect(),
-            }),
+            loss: (!has_survivor && !self.lost.is_empty()).then(|| self.loss()),
             has_survivor,
             lost_leafs,
             may_have_called: self.fanout.may_have_called(),
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -2,9 +2,9 @@
 
 mod answer;
 mod call;
-mod confirmation;
 mod crash_records;
 mod crashes;
+mod datagram;
 mod exposition;
 mod follower;
 mod gather;
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -20,8 +20,8 @@
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
-use crate::confirmation;
 use crate::crash_records;
+use crate::datagram;
 use crate::exposition;
 use crate::follower::Follower;
 use crate::mirror::Mirror;
@@ -131,9 +131,7 @@
         Follower::new(Rc::clone(&state), Rc::clone(&mirror)).run()
     });
     let state = Rc::clone(&shared);
-    spawn("confirmations", move || {
-        confirmation::run(Rc::clone(&state))
-    });
+    spawn("datagrams", move || datagram::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
     spawn("registration", move || registration::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
--- a/instance/src/release.rs
+++ b/instance/src/release.rs
@@ -11,8 +11,8 @@
 /// The first version with notices of leafs that limit their requests.
 pub const NOTICES: u32 = 2;
 
-/// The first version whose instances confirm the revision of the store to each other.
-pub const CONFIRMATIONS: u32 = 3;
+/// The first version whose instances send each other datagrams.
+pub const DATAGRAMS: u32 = 3;
 
 /// Publishes the release in the metrics.
 pub fn describe() {
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -266,7 +266,7 @@
         Ok(attempt) => attempt,
         Err(pause) => return refuse(pause),
     };
-    request.is_suspect = attempt.is_trial();
+    request.is_suspect = attempt.needs_canary();
     let groups = if request.is_suspect {
         Vec::new()
     } else {
@@ -384,6 +384,7 @@
         min_coverage,
         max_leafs: route.max_leafs,
         is_suspect: false,
+        permits_canary: true,
         hedge_delay: (route.semantics == CallSemantics::Idempotent).then_some(hedge_delay),
         refuse_by: origin.arrived + route.objective.mul_f64(REFUSAL_SHARE),
         answer_by,
@@ -461,6 +462,7 @@
         }
     };
     request.min_coverage = 0.0;
+    request.permits_canary = role != HandoverRole::Caller;
     request.answer_by = arrived + handover_request.due_in.saturating_sub(margin);
     request.deadline = request.deadline.min(request.answer_by);
 }
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use camphorhold::coordination::hedge::Delay;
+use camphorhold::coordination::serving::Alarms;
 use camphorhold::coordination::serving::ConcurrencyLimits;
 use camphorhold::coordination::serving::Fleet;
 use camphorhold::coordination::serving::Instances;
@@ -119,6 +120,8 @@
     pub suspects: RefCell<Suspects>,
     /// Wakes the task that writes their records to the store.
     pub suspects_changed: Notify,
+    /// The requests under which leafs may just have ended.
+    pub alarms: RefCell<Alarms>,
     /// The lease with which these records expire, and when it was granted.
     pub suspects_lease: Cell<Option<(u64, Instant)>>,
     /// The memory for answers of leafs and instances that are being read.
@@ -127,7 +130,7 @@
     pub leaf_pool: Pool<LeafKey>,
     /// Idle connections to other instances.
     pub peer_pool: Pool<SocketAddr>,
-    /// The socket for confirmations between instances, at the address for other instances.
+    /// The socket for datagrams between instances, at the address for other instances.
     pub datagrams: UdpSocket,
     /// Whether the watch of the store still returns changes.
     pub watch: RefCell<watch::Monitor>,
@@ -186,6 +189,7 @@
             suspects: RefCell::new(Suspects::new(MAX_SUSPECTS, MIN_SURVIVALS)),
             suspects_changed: Notify::new(),
             suspects_lease: Cell::new(None),
+            alarms: RefCell::new(Alarms::new(MAX_SUSPECTS)),
             read_budget: ReadBudget::new(read_bytes),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
--- a/instance/tests/changes.rs
+++ b/instance/tests/changes.rs
@@ -20,8 +20,8 @@
 /// Longer than the settling time: such a read reveals a lost watch too late.
 const READ_AGE: Duration = Duration::from_millis(5_500);
 
-const RECEIVED: &str = r#"camphorhold_confirmations_total{outcome="received"}"#;
-const INVALID: &str = r#"camphorhold_confirmations_total{outcome="invalid"}"#;
+const RECEIVED: &str = r#"camphorhold_datagrams_total{kind="confirmation",outcome="received"}"#;
+const INVALID: &str = r#"camphorhold_datagrams_total{kind="unknown",outcome="invalid"}"#;
 
 /// Waits until reads that are [`READ_AGE`] old show what current ones show, so that nothing tells
 /// them apart.
@@ -143,17 +143,20 @@
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let registered = socket.local_addr().unwrap();
     let long = vec![b' '; 2_000];
-    let datagrams: [&[u8]; 7] = [
+    let datagrams: [&[u8]; 10] = [
         b"",
         b"{",
         b"\xff\xff",
-        br#"{"revision":-1,"read_ms_ago":0}"#,
-        br#"{"revision":18446744073709551615,"read_ms_ago":18446744073709551615}"#,
-        br#"{"revision":18446744073709551615,"era":"7","read_ms_ago":1}"#,
+        br#"{"revision":1,"read_ms_ago":0}"#,
+        br#"{"kind":"confirmation","revision":-1,"read_ms_ago":0}"#,
+        br#"{"kind":"confirmation","revision":18446744073709551615,"read_ms_ago":18446744073709551615}"#,
+        br#"{"kind":"confirmation","revision":18446744073709551615,"era":"7","read_ms_ago":1}"#,
+        br#"{"kind":"alarm","fingerprint":"x","level":"confirmed"}"#,
+        br#"{"kind":"a later one","level":"x"}"#,
         &long,
     ];
     // From an address that is not registered, even a proper one counts as invalid.
-    let proper = br#"{"revision":1000000,"read_ms_ago":1}"#;
+    let proper = br#"{"kind":"confirmation","revision":1000000,"read_ms_ago":1}"#;
     socket
         .send_to(proper, instance.peer_address())
         .await
@@ -183,7 +186,7 @@
             .unwrap();
     }
     wait_until("all are read", || async {
-        instance.counter(INVALID).await >= invalid + 5
+        instance.counter(INVALID).await >= invalid + 7
             && instance.counter(RECEIVED).await >= received + 2
     })
     .await;
--- a/instance/tests/releases.rs
+++ b/instance/tests/releases.rs
@@ -247,7 +247,7 @@
 /// Guards against datagrams to an instance of an earlier release, which has no socket for them and
 /// makes no current reads that this one could rely on.
 #[tokio::test(flavor = "multi_thread")]
-async fn instances_of_earlier_releases_get_no_confirmations() {
+async fn instances_of_earlier_releases_get_no_datagrams() {
     let platform = Platform::start(&[("s1", "a")]).await;
     let peers = recordings();
     let mut earlier = Vec::new();
@@ -288,8 +288,10 @@
         &recording.token_claims,
         &recording.token_grants,
         recording.notices.as_ref().unwrap(),
-        recording.confirmation.as_ref().unwrap(),
-    ] {
+    ]
+    .into_iter()
+    .chain(recording.datagrams.values())
+    {
         field_names(value, &mut names);
     }
     for message in [
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -231,6 +231,14 @@
         self.process.peer_address()
     }
 
+    /// Returns whether it has read all changes of the store, registrations of others included.
+    pub async fn is_up_to_date(&self, platform: &Platform) -> bool {
+        let applied = r#"camphorhold_store_revision{source="applied"}"#;
+        #[expect(clippy::cast_precision_loss, reason = "revisions of tests are small")]
+        let latest = platform.store.revision() as f64;
+        self.gauge(applied).await >= latest
+    }
+
     /// Sends a request with the id `request` on a new connection and returns its answer.
     pub async fn send(&self, request: &str, path: &str) -> Result<Response<Bytes>, Error> {
         let mut connection = Connection::open(self.process.caller_address(), TCP_OPTIONS).await?;
--- a/instance/tests/support/recorder.rs
+++ b/instance/tests/support/recorder.rs
@@ -32,8 +32,9 @@
 /// The headers of messages between instances begin like this.
 const OWN_PREFIX: &str = "camphorhold-";
 
-/// The first protocol whose instances confirm the revision of the store to each other.
-const FIRST_WITH_CONFIRMATIONS: u64 = 3;
+/// The first protocol whose instances send each other datagrams, and how many kinds of them.
+const FIRST_WITH_DATAGRAMS: u64 = 3;
+const DATAGRAM_KINDS: usize = 2;
 
 /// The time within which notices are sent after a claim, by releases that send them.
 const NOTICE_TIME: Duration = Duration::from_millis(400);
@@ -92,8 +93,9 @@
     pub token_grants: Value,
     /// Absent in releases without notices.
     pub notices: Option<Value>,
-    /// Absent in releases without confirmations.
-    pub confirmation: Option<Value>,
+    /// The datagrams by their kind; none in releases without them.
+    #[serde(default)]
+    pub datagrams: BTreeMap<String, Value>,
 }
 
 /// Another instance: takes nothing over, and keeps what it is sent.
@@ -312,9 +314,18 @@
     let registration = platform.store.items("camphorhold/instances/1").remove(0).1;
     let parse = |bytes: &[u8]| serde_json::from_slice::<Value>(bytes).unwrap();
     let registration = parse(&registration);
-    if registration["protocol"].as_u64() >= Some(FIRST_WITH_CONFIRMATIONS) {
-        wait_until("a read of the store is confirmed", || async {
-            !peer.datagrams().is_empty()
+    let datagrams = || -> BTreeMap<String, Value> {
+        let datagrams = peer.datagrams();
+        let datagrams = datagrams.iter().map(|datagram| parse(datagram));
+        let by_kind = datagrams.filter_map(|datagram| {
+            let kind = datagram["kind"].as_str()?.to_owned();
+            Some((kind, datagram))
+        });
+        by_kind.collect()
+    };
+    if registration["protocol"].as_u64() >= Some(FIRST_WITH_DATAGRAMS) {
+        wait_until("datagrams of all kinds are sent", || async {
+            datagrams().len() == DATAGRAM_KINDS
         })
         .await;
     }
@@ -328,6 +339,6 @@
         token_claims: parse(token_claims.body.as_bytes()),
         token_grants: parse(token_grants.body.as_bytes()),
         notices: notices.map(|message| parse(message.body.as_bytes())),
-        confirmation: peer.datagrams().first().map(|datagram| parse(datagram)),
+        datagrams: datagrams(),
     }
 }
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -99,7 +99,7 @@
             answered: 0,
             open,
             may_have_run: false,
-            crash_guard: CrashGuard::new(request.is_suspect),
+            crash_guard: CrashGuard::new(request.is_suspect, request.permits_canary),
             hedges: 0,
             retries: 0,
         };
--- a/lib/src/coordination/serving/fanout/message.rs
+++ b/lib/src/coordination/serving/fanout/message.rs
@@ -53,6 +53,9 @@
     /// Whether the request has ended leafs before. Then one leaf has to survive it before it is sent
     /// to another one.
     pub is_suspect: bool,
+    /// Whether a second leaf may get the request after the connection to one was lost and before one
+    /// has survived it. Otherwise the instance that handed the query over decides that.
+    pub permits_canary: bool,
     /// How long a call may take before a second leaf is called; `None` turns hedging off.
     pub hedge_delay: Option<Duration>,
     /// The time at which a request is refused if no call could be sent and no shard has answered. A
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -5,6 +5,7 @@
 //! instances, so that a call does not have to wait for another instance. Limits that leafs name
 //! themselves are too small for that: one instance grants the calls to such a leaf ([`rate_limit`]).
 
+pub mod alarms;
 pub mod concurrency_limit;
 pub mod fanout;
 pub mod fleet;
@@ -17,6 +18,7 @@
 pub mod suspects;
 pub mod watch;
 
+pub use self::alarms::Alarms;
 pub use self::concurrency_limit::ConcurrencyLimits;
 pub use self::fanout::Fanout;
 pub use self::fleet::Fleet;
--- a/lib/src/coordination/serving/suspects.rs
+++ b/lib/src/coordination/serving/suspects.rs
@@ -194,6 +194,12 @@
         Admission::Trial(suspect.begin_write(fingerprint))
     }
 
+    /// Returns whether leafs have survived a request within [`SURVIVAL_RETENTION`].
+    #[must_use]
+    pub fn has_survived(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.survivals.contains(fingerprint, now)
+    }
+
     /// Records that a leaf has survived a request.
     pub fn on_survived(&mut self, fingerprint: Fingerprint, now: Instant) {
         self.survivals.insert(fingerprint, now);
--- a/lib/src/coordination/serving/suspects/survivals.rs
+++ b/lib/src/coordination/serving/suspects/survivals.rs
@@ -43,6 +43,13 @@
         found.filter(|survival| now < survival.at + SURVIVAL_RETENTION)
     }
 
+    pub(super) fn contains(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let newer = self.newer.get(&fingerprint);
+        newer
+            .or_else(|| self.older.get(&fingerprint))
+            .is_some_and(|survival| now < survival.at + SURVIVAL_RETENTION)
+    }
+
     pub(super) fn insert(&mut self, fingerprint: Fingerprint, now: Instant) {
         if self.newer.len() >= self.generation_capacity {
             self.older = std::mem::take(&mut self.newer);
--- a/lib/tests/serving_crash_guard.rs
+++ b/lib/tests/serving_crash_guard.rs
@@ -9,6 +9,7 @@
 use camphorhold::coordination::serving::Fanout;
 use camphorhold::coordination::serving::Fleet;
 use camphorhold::coordination::serving::RetryBudgets;
+use camphorhold::coordination::serving::alarms::Level;
 use camphorhold::coordination::serving::fanout::Context;
 use camphorhold::coordination::serving::fanout::LeafCall;
 use camphorhold::coordination::serving::fanout::Outcome;
@@ -68,6 +69,14 @@
     }
 
     fn start_request(&mut self, is_suspect: bool) -> (Fanout, Vec<LeafCall>) {
+        self.start_request_with(is_suspect, true)
+    }
+
+    fn start_request_with(
+        &mut self,
+        is_suspect: bool,
+        permits_canary: bool,
+    ) -> (Fanout, Vec<LeafCall>) {
         let request = Request {
             shards: SHARDS
                 .iter()
@@ -83,6 +92,7 @@
             min_coverage: 0.5,
             max_leafs: 2,
             is_suspect,
+            permits_canary,
             hedge_delay: Some(ms(40)),
             refuse_by: self.start + ms(30),
             answer_by: self.start + ms(140),
@@ -239,3 +249,31 @@
     let shards: Vec<usize> = replaced.iter().map(|call| call.shard).collect();
     assert_eq!(shards, [0, 1]);
 }
+
+/// Guards against a canary by each of the instances that were handed shards of the same query, and
+/// against shards that such an instance gives up although leafs survive the query.
+#[test]
+fn an_instance_that_was_handed_shards_sends_no_canary_but_goes_on_after_a_survivor() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request_with(false, false);
+    assert_eq!(world.end(&mut fanout, calls[0], Outcome::Lost, 2), []);
+    assert_eq!(fanout.suspicion(), Some(Level::Suspected));
+    let resumed = world.end(&mut fanout, calls[1], Outcome::Answered, 5);
+    assert_eq!(resumed.len(), 1);
+    assert_eq!(resumed[0].shard, calls[0].shard);
+    assert_eq!(fanout.suspicion(), None);
+}
+
+/// Guards against an alarm that says less or more than the lost connections do.
+#[test]
+fn a_lost_canary_confirms_the_suspicion() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request(false);
+    assert_eq!(fanout.suspicion(), None);
+    let canary = world.end(&mut fanout, calls[0], Outcome::Lost, 2);
+    assert_eq!(fanout.suspicion(), Some(Level::Suspected));
+    world.end(&mut fanout, calls[1], Outcome::Lost, 3);
+    assert_eq!(fanout.suspicion(), Some(Level::Suspected));
+    world.end(&mut fanout, canary[0], Outcome::Lost, 4);
+    assert_eq!(fanout.suspicion(), Some(Level::Confirmed));
+}
--- a/lib/tests/serving_fanout.rs
+++ b/lib/tests/serving_fanout.rs
@@ -88,6 +88,7 @@
             min_coverage: 0.5,
             max_leafs: 2,
             is_suspect: false,
+            permits_canary: true,
             hedge_delay: Some(ms(40)),
             refuse_by: self.start + ms(30),
             answer_by: self.start + ms(140),
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -221,6 +221,12 @@
         self.shared.lock().read_age = age;
     }
 
+    /// Returns the revision of the last change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.shared.lock().revision
+    }
+
     /// Returns how long ago the store was changed last, zero if it never was.
     #[must_use]
     pub fn quiet_for(&self) -> Duration {
