soak: play changes that all watches miss while cheap reads are old

Up to two in a run without an earlier release beside, from a random stream of their own, so that earlier seeds stay as they were. Seed 773 on: 222 requests ran at a service to which no permitted configuration leads; on none. It is a regression test now. The soak creates the folder of its logs.

--- a/instance/tests/soak.rs
+++ b/instance/tests/soak.rs
@@ -73,3 +73,10 @@
 fn seed_123_requests_reach_an_instance_paused_in_its_shutdown() {
     run(123, 10);
 }
+
+/// Guards against a change that is in force too late because all watches miss it while reads that may
+/// be old are old.
+#[test]
+fn seed_773_a_change_that_all_watches_miss_is_in_force_in_time() {
+    run_with(773, 12, true);
+}
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -45,6 +45,9 @@
     let first = arguments
         .seed
         .unwrap_or_else(|| rand::random::<u32>().into());
+    if let Some(logs) = &arguments.logs {
+        std::fs::create_dir_all(logs).into_diagnostic()?;
+    }
     let mut violations = 0;
     for seed in first..first + arguments.seeds {
         let report = camphorhold_soak::run(&Options {
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -28,6 +28,10 @@
 /// The random stream of the faults that [`draw_additional`] draws.
 const ADDITIONAL_STREAM: u64 = 1;
 
+/// The random stream of the faults that [`draw_deaf_watches`] draws, and the most of them.
+const DEAF_WATCHES_STREAM: u64 = 2;
+const MAX_DEAF_WATCHES: usize = 2;
+
 /// The most restores of the store, limits of leafs and ends of all leases in one run.
 const MAX_RESTORES: usize = 2;
 const MAX_LIMITS: usize = 3;
@@ -53,6 +57,9 @@
     StoreLink(usize, LinkFault),
     /// The store misbehaves towards all instances.
     Store(StoreFault),
+    /// The configuration changes while the store leaves out all watches from changes, and reads of it
+    /// that may be old are old. They stay so for a while.
+    DeafWatches,
     /// The store drops its history of changes, as a compaction does.
     Compact,
     /// The link from all instances to a leaf has a fault.
@@ -144,6 +151,20 @@
     events
 }
 
+/// Draws changes that all watches miss, in some runs none. Releases up to e7eb14d find them too late.
+pub(crate) fn draw_deaf_watches(seed: u64, length: Duration) -> Vec<Event> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(DEAF_WATCHES_STREAM);
+    let latest = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+    let number = random.random_range(0..=MAX_DEAF_WATCHES);
+    let events = (0..number).map(|_| Event {
+        at: Duration::from_millis(random.random_range(0..latest)),
+        length: Duration::from_millis(random.random_range(LENGTH_MS)),
+        fault: Fault::DeafWatches,
+    });
+    events.collect()
+}
+
 /// Returns the planned replacement of all instances, one after the other.
 pub(crate) fn replacements(counts: TargetCounts, length: Duration) -> Vec<Event> {
     let instances = u32::try_from(counts.instances).unwrap_or(u32::MAX);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -67,6 +67,10 @@
 const REWRITE_DELAY: Duration = Duration::from_millis(400);
 const LAPSE_DELAY: Duration = Duration::from_secs(2);
 
+/// How old reads of the store are that may be old, while watches miss changes and for as long
+/// afterwards. Longer than the settling time.
+const OLD_READ_AGE: Duration = Duration::from_millis(5_500);
+
 /// How much longer than other faults an evacuation lasts, so that it exceeds its bound of 5 s.
 const EXTRA_EVACUATION_DURATION: Duration = Duration::from_secs(6);
 
@@ -114,6 +118,8 @@
     }
     if options.previous.is_some() {
         events.extend(schedule::replacements(counts, options.length));
+    } else if options.additional {
+        events.extend(schedule::draw_deaf_watches(options.seed, options.length));
     }
     let world = Rc::new(World::start(options).await?);
     let records = Records::default();
@@ -296,6 +302,16 @@
                 tokio::time::sleep(length).await;
                 self.store.set_fault(StoreFault::None);
             }
+            Fault::DeafWatches => {
+                self.instances.disturb_all(length);
+                self.store.set_read_age(OLD_READ_AGE);
+                self.store.set_fault(StoreFault::DeafWatches);
+                self.configure();
+                tokio::time::sleep(length).await;
+                self.store.set_fault(StoreFault::None);
+                tokio::time::sleep(OLD_READ_AGE).await;
+                self.store.set_read_age(Duration::ZERO);
+            }
             Fault::Compact => {
                 self.instances.disturb_all(Duration::ZERO);
                 self.store.compact();
