instance, testutils: keep the ports of links that are down, and drop alarms with reasons

The kept log has 'leafs accept connections again' while all links were down: something listened at the port of a link, which the stand-in had released. Clients that connect to themselves are ruled out (0 of 60,000 attempts); a listener of another test that gets the port is not: 40,000 listeners at free ports got a released one 5, 7 and 8 times in three trials, and never one that is bound. The stand-in keeps its port bound now.

Alarms: a query is told of only when a second leaf is lost, also where an instance owns one shard of it, and the log says why an alarm was dropped.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -168,7 +168,7 @@
 /// Records that a leaf has survived a request.
 pub fn record_survival(shared: &Shared, forwarded: &ForwardedRequest) {
     let fingerprint = forwarded.fingerprint();
-    datagram::clear_alarm(shared, fingerprint);
+    datagram::clear_alarm(shared, fingerprint, "a leaf has survived the request");
     let mut suspects = shared.suspects.borrow_mut();
     suspects.on_survived(fingerprint, shared.now());
     if suspects.has_changes() {
@@ -236,7 +236,7 @@
                 Ok(()) => self.record_crash(lost_leafs),
                 Err(reason) => {
                     self.log_dismissed(lost_leafs, reason);
-                    datagram::clear_alarm(&self.shared, self.forwarded.fingerprint());
+                    datagram::clear_alarm(&self.shared, self.forwarded.fingerprint(), reason);
                 }
             }
         });
@@ -253,7 +253,7 @@
             return;
         };
         log::info!(request = self.forwarded.id(), fingerprint:% = fingerprint; "a leaf has survived the request; it is no longer suspect");
-        datagram::clear_alarm(&self.shared, fingerprint);
+        datagram::clear_alarm(&self.shared, fingerprint, "a leaf has survived the request");
         let now = self.shared.now();
         let mut suspects = self.shared.suspects.borrow_mut();
         suspects.on_trial_end(fingerprint, TrialEnd::Survived, now);
--- a/instance/src/datagram.rs
+++ b/instance/src/datagram.rs
@@ -61,7 +61,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 enum WireLevel {
-    // A leaf has survived the request.
+    // A leaf has survived the request, or the connections were lost for another reason.
     Cleared,
     Suspected,
     Confirmed,
@@ -120,10 +120,10 @@
     }
 }
 
-/// Drops the alarm about a request that a leaf has survived, here and at all instances.
-pub fn clear_alarm(shared: &Shared, fingerprint: Fingerprint) {
-    if shared.alarms.borrow_mut().on_survived(fingerprint) {
-        log::info!(fingerprint:% = fingerprint; "a leaf has survived the request; alarm dropped");
+/// Drops the alarm about a request, if there is one, here and at all instances.
+pub fn clear_alarm(shared: &Shared, fingerprint: Fingerprint, reason: &'static str) {
+    if shared.alarms.borrow_mut().clear(fingerprint) {
+        log::info!(fingerprint:% = fingerprint, reason = reason; "alarm about a request dropped");
         send_alarm(shared, fingerprint, WireLevel::Cleared);
     }
 }
@@ -244,7 +244,7 @@
     let mut alarms = shared.alarms.borrow_mut();
     match alarm.level {
         WireLevel::Cleared => {
-            alarms.on_survived(fingerprint);
+            alarms.clear(fingerprint);
         }
         WireLevel::Suspected => alarms.on_told(fingerprint, Level::Suspected, now),
         WireLevel::Confirmed => alarms.on_told(fingerprint, Level::Confirmed, now),
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -17,6 +17,7 @@
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::instances::HandoverRole;
 use camphorhold::coordination::serving::instances::ShardGroup;
+use camphorhold::state::plan::Target;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use hyper::Response;
@@ -319,14 +320,14 @@
         }
     }
 
-    /// Tells the other instances that the request may have ended leafs, unless one has survived it. A
-    /// query with a single lost connection is told of only when the leaf of another shard is lost, too:
-    /// leafs end for other reasons.
+    /// Tells the other instances that the request may have ended leafs, unless one has survived it. Of
+    /// a query only when a second leaf is lost: leafs end for other reasons.
     fn raise_alarm(&mut self) {
         let Some(level) = self.fanout.suspicion() else {
             return;
         };
-        if self.services.len() > 1 && self.lost.len() < 2 {
+        let is_query = matches!(self.forwarded.route.target, Target::Shards(_));
+        if is_query && self.lost.len() < 2 {
             return;
         }
         datagram::raise_alarm(self.shared, self.forwarded.fingerprint(), Level::Suspected);
--- a/lib/src/coordination/serving/alarms.rs
+++ b/lib/src/coordination/serving/alarms.rs
@@ -111,9 +111,9 @@
         }
     }
 
-    /// Records that a leaf has survived a request. Returns whether there was an alarm, which the
-    /// others then have to drop as well.
-    pub fn on_survived(&mut self, fingerprint: Fingerprint) -> bool {
+    /// Drops the alarm about a request: a leaf has survived it, or the connections were lost for
+    /// another reason. Returns whether there was one, which the others then have to drop as well.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
         self.by_fingerprint.remove(&fingerprint).is_some()
     }
 
--- a/lib/tests/serving_alarms.rs
+++ b/lib/tests/serving_alarms.rs
@@ -42,8 +42,8 @@
     assert_eq!(alarms.caution(BAD, now + ms(2_000)), Caution::OneLeafFirst);
     assert_eq!(alarms.caution(BAD, now + ms(30_000)), Caution::Free);
     alarms.on_loss(BAD, Level::Confirmed, now);
-    assert!(alarms.on_survived(BAD));
-    assert!(!alarms.on_survived(BAD));
+    assert!(alarms.clear(BAD));
+    assert!(!alarms.clear(BAD));
     assert_eq!(alarms.caution(BAD, now), Caution::Free);
     assert!(alarms.is_empty());
 }
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -137,9 +137,14 @@
     fault: &mut watch::Receiver<(u64, LinkFault)>,
     address: SocketAddr,
 ) -> TcpListener {
+    // Keeps the port: the next listener at a free port may otherwise get this one.
+    let reserved = bind(address);
     // An error means that the proxy is gone, and its task soon, too.
     let _ = fault.changed().await;
-    rebind(address, BACKLOG).await
+    match reserved.and_then(|socket| socket.listen(BACKLOG)) {
+        Ok(listener) => listener,
+        Err(_) => rebind(address, BACKLOG).await,
+    }
 }
 
 /// Listens on an address that was in use until now.
@@ -156,10 +161,14 @@
 }
 
 fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    bind(address)?.listen(backlog)
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(backlog)
+    Ok(socket)
 }
 
 async fn forward(client: TcpStream, server: SocketAddr, fault: watch::Receiver<(u64, LinkFault)>) {
