--- a/lib/tests/serving_watch.rs
+++ b/lib/tests/serving_watch.rs
@@ -150,7 +150,7 @@
 #[test]
 fn a_lost_watch_is_found_in_time_without_an_earlier_observation() {
     for count in [1, 2, 7, 64] {
-        for calm in (0..2_000).step_by(100) {
+        for calm in (0..4_000).step_by(200) {
             let mut group = Group::new(count, calm);
             group.run(ms(5_000 + calm));
             let found_after = group.lose_change();
@@ -166,11 +166,11 @@
 /// confirmations are lost.
 #[test]
 fn a_lost_watch_is_found_in_time_although_others_are_silent() {
-    for seed in 0..40 {
-        let mut group = Group::new(30, seed);
+    for seed in 0..20 {
+        let mut group = Group::new(64, seed);
         group.loss = f64::from(u32::try_from(seed % 4).unwrap_or(0)) / 3.0;
         group.run(ms(4_000));
-        let silent = usize::try_from(seed).unwrap_or(0) % 29;
+        let silent = usize::try_from(7 * seed).unwrap_or(0) % 64;
         for member in &mut group.members[..silent] {
             member.is_silent = true;
         }
