instance: raise alarms only where leafs are down, not where they reset connections

Cause: leafs there reset connections because they have too many. A query that loses two before its first answer raised an alarm, told to 194 instances, by reading some 20 alarms a second.

Change: the lost leafs are asked for a connection first, for a suspicion as for its confirmation: one has to refuse it while a leaf of another service accepts.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -314,12 +314,14 @@
     }
 }
 
-/// Raises an alarm that holds the request at all instances, if the leafs that were lost accept no
-/// connections while another one does. Links that fail one after the other may look the same, so
-/// whether leafs have ended is found out later, see [`Attempt::end`].
-pub fn confirm_alarm(
+/// Raises an alarm about a request at all instances, if the leafs that were lost accept no connections
+/// while another one does: leafs also reset connections because they have too many. Links that fail
+/// one after the other may look the same, so whether leafs have ended is found out later, see
+/// [`Attempt::end`].
+pub fn raise_alarm(
     shared: &Rc<Shared>,
     forwarded: &Rc<ForwardedRequest>,
+    level: Level,
     loss: Loss,
 ) -> impl Future<Output = ()> + use<> {
     let shared = Rc::clone(shared);
@@ -327,7 +329,7 @@
     async move {
         let services = forwarded.route.target.services();
         if is_down_alone(&shared, &services, &loss.leafs, &loss.called).await {
-            datagram::raise_alarm(&shared, forwarded.fingerprint(), Level::Confirmed);
+            datagram::raise_alarm(&shared, forwarded.fingerprint(), level);
         }
     }
 }
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -26,7 +26,6 @@
 use crate::call;
 use crate::call::ForwardedRequest;
 use crate::crashes;
-use crate::datagram;
 use crate::handover;
 use crate::handover::Query;
 use crate::shared::Shared;
@@ -118,7 +117,8 @@
     failure: Option<Response<Bytes>>,
     call_errors: Vec<String>,
     lost: Vec<LeafKey>,
-    // Tells the other instances that the request has probably ended leafs.
+    // What the lost connections say so far, and the task that tells the other instances.
+    alarm_level: Option<Level>,
     alarm: Option<JoinHandle<()>>,
 }
 
@@ -209,6 +209,7 @@
             failure: None,
             call_errors: Vec::new(),
             lost: Vec::new(),
+            alarm_level: None,
             alarm: None,
         }
     }
@@ -330,12 +331,12 @@
         if is_query && self.lost.len() < 2 {
             return;
         }
-        datagram::raise_alarm(self.shared, self.forwarded.fingerprint(), Level::Suspected);
-        if level == Level::Confirmed {
-            let loss = self.loss();
-            let confirmation = crashes::confirm_alarm(self.shared, self.forwarded, loss);
-            self.alarm = Some(tokio::task::spawn_local(confirmation));
+        if self.alarm_level >= Some(level) {
+            return;
         }
+        self.alarm_level = Some(level);
+        let alarm = crashes::raise_alarm(self.shared, self.forwarded, level, self.loss());
+        self.alarm = Some(tokio::task::spawn_local(alarm));
     }
 
     fn loss(&self) -> Loss {
