instance: move alarms to a module of their own

crashes.rs and gather.rs imported each other since: gathering raised alarms, and the evidence was that of gathering. Moves definitions only; the tests of blast_radius.rs and poison.rs pass.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -11,7 +11,6 @@
 use std::time::Instant;
 
 use camphorhold::coordination::serving::alarms::Caution;
-use camphorhold::coordination::serving::alarms::Level;
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::Standing;
 use camphorhold::coordination::serving::suspects::Admission;
@@ -21,20 +20,15 @@
 use camphorhold::state::plan::Target;
 use camphorhold_platform::store::Store;
 use camphorhold_platform::store::StoreError;
-use futures::future::join_all;
 
+use crate::alarm;
+use crate::alarm::Loss;
 use crate::call::ForwardedRequest;
 use crate::crash_records;
 use crate::datagram;
 use crate::gather::FinishedRequest;
-use crate::gather::Loss;
-use crate::probe;
 use crate::shared::Shared;
 
-/// The number of other leafs of which one has to accept a connection, so that the loss of
-/// connections is not that of the network.
-const MAX_REFERENCES: usize = 3;
-
 /// How long after the loss of a connection leafs are asked. The links of an instance may fail one after
 /// the other, and a leaf that has ended is not back sooner than after about a second.
 const PROBE_DELAY: Duration = Duration::from_millis(300);
@@ -314,45 +308,6 @@
     }
 }
 
-/// Raises an alarm about a request at all instances, if the leafs that were lost accept no connections
-/// while another one does: leafs also reset connections because they have too many. Links that fail
-/// one after the other may look the same, so whether leafs have ended is found out later, see
-/// [`Attempt::end`].
-pub fn raise_alarm(
-    shared: &Rc<Shared>,
-    forwarded: &Rc<ForwardedRequest>,
-    level: Level,
-    loss: Loss,
-) -> impl Future<Output = ()> + use<> {
-    let shared = Rc::clone(shared);
-    let forwarded = Rc::clone(forwarded);
-    async move {
-        let services = forwarded.route.target.services();
-        if is_down_alone(&shared, &services, &loss.leafs, &loss.called).await {
-            datagram::raise_alarm(&shared, forwarded.fingerprint(), level);
-        }
-    }
-}
-
-/// Returns whether one of the leafs is down while a leaf of another service accepts connections.
-async fn is_down_alone(
-    shared: &Shared,
-    services: &[&str],
-    leafs: &[LeafKey],
-    called: &[LeafKey],
-) -> bool {
-    let references =
-        shared
-            .fleet
-            .borrow()
-            .sample_of_others(services, called, MAX_REFERENCES, shared.jitter());
-    let (responses, any_reference_accepts) = tokio::join!(
-        join_all(leafs.iter().map(|leaf| probe::connect(shared, *leaf))),
-        probe::any_accepts_connections(shared, &references)
-    );
-    responses.contains(&probe::Response::Down) && any_reference_accepts
-}
-
 /// Finds out whether one of the leafs that were lost has ended: it is down while leafs of other
 /// services accept connections, or its entry goes within [`ENTRY_LAPSE`]. A leaf that has started
 /// again, or that this instance cannot reach, shows by its entry only.
@@ -378,7 +333,7 @@
     }
     tokio::time::sleep(PROBE_DELAY).await;
     let services = target.services();
-    if is_down_alone(shared, &services, &lost_leafs, &loss.called).await {
+    if alarm::is_down_alone(shared, &services, &lost_leafs, &loss.called).await {
         return Ok(());
     }
     let lapses_by = shared.now() + ENTRY_LAPSE;
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -23,9 +23,10 @@
 use hyper::Response;
 use tokio::task::JoinHandle;
 
+use crate::alarm;
+use crate::alarm::Loss;
 use crate::call;
 use crate::call::ForwardedRequest;
-use crate::crashes;
 use crate::handover;
 use crate::handover::Query;
 use crate::shared::Shared;
@@ -79,15 +80,6 @@
     pub may_have_called: bool,
 }
 
-/// Connections to leafs that were lost under a request that no leaf has survived.
-#[derive(Clone, Debug)]
-pub struct Loss {
-    /// The first [`MAX_LOST_LEAFS`] leafs.
-    pub leafs: Vec<LeafKey>,
-    /// All leafs that this instance has called.
-    pub called: Vec<LeafKey>,
-}
-
 /// An answer that is part of the result.
 struct Part {
     // Its shards, by their positions in the request. A merged answer covers several.
@@ -335,7 +327,7 @@
             return;
         }
         self.alarm_level = Some(level);
-        let alarm = crashes::raise_alarm(self.shared, self.forwarded, level, self.loss());
+        let alarm = alarm::raise(self.shared, self.forwarded, level, self.loss());
         self.alarm = Some(tokio::task::spawn_local(alarm));
     }
 
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -1,5 +1,6 @@
 //! `camphorhold-instance` runs one instance of the query tier on the users' platform.
 
+mod alarm;
 mod answer;
 mod call;
 mod crash_records;
