testutils: close a leaf's listener before its connections

When a request ended the stand-in leaf, its connection closed in one task and its listener in another one. An instance that asked the leaf in between got a connection and raised no alarm, and the recorder sends the harmful request only until a crash is recorded.

Change: a leaf that ends refuses connections before its connections close, as a process that ends does for its caller. While it is down it keeps its port bound, like the links of the stand-in, so that no other listener gets it. The code for both is shared.

--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -203,6 +203,9 @@
     state: Arc<Mutex<State>>,
     // The number of times that a request has ended it.
     ends: watch::Sender<usize>,
+    // Changes when it no longer accepts connections after an end. Its connections close then: a
+    // caller whose connection closes cannot open another one.
+    stopped: watch::Sender<()>,
 }
 
 impl Leaf {
@@ -220,6 +223,7 @@
             address,
             state: Arc::default(),
             ends: watch::Sender::new(0),
+            stopped: watch::Sender::new(()),
         };
         tokio::spawn(serve(listener, leaf.clone()));
         Ok(leaf)
@@ -373,19 +377,15 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    tokio::spawn(serve_until_end(stream, leaf.clone()));
+                    let stopped = leaf.stopped.subscribe();
+                    tokio::spawn(serve_until_stop(stream, leaf.clone(), stopped));
                 }
                 Err(_) => tokio::time::sleep(server::ACCEPT_RETRY).await,
             },
             _ = ended.changed() => {
                 drop(listener);
-                tokio::time::sleep(RESTART_TIME).await;
-                listener = loop {
-                    match server::bind(leaf.address).await {
-                        Ok((listener, _)) => break listener,
-                        Err(_) => tokio::time::sleep(server::ACCEPT_RETRY).await,
-                    }
-                };
+                leaf.stopped.send_replace(());
+                listener = server::rebind_after(leaf.address, tokio::time::sleep(RESTART_TIME)).await;
                 // Requests that ran at the moment of the end count as one end.
                 ended.mark_unchanged();
             }
@@ -393,17 +393,16 @@
     }
 }
 
-/// Serves a connection until it ends or a request ends the leaf.
-async fn serve_until_end(stream: TcpStream, leaf: Leaf) {
+/// Serves a connection until it ends or the leaf has stopped.
+async fn serve_until_stop(stream: TcpStream, leaf: Leaf, mut stopped: watch::Receiver<()>) {
     leaf.lock().open_connections += 1;
-    let mut ended = leaf.ends.subscribe();
     tokio::select! {
         result = serve_connection(stream, &leaf) => {
             if let Err(error) = result {
                 log::debug!("connection to the stand-in leaf failed: {error}");
             }
         }
-        _ = ended.changed() => {}
+        _ = stopped.changed() => {}
     }
     leaf.lock().open_connections -= 1;
 }
@@ -416,7 +415,7 @@
         if leaf.lock().poison.as_ref() == Some(&run.path) {
             leaf.lock().runs.push(run);
             leaf.ends.send_modify(|ends| *ends += 1);
-            return Ok(());
+            return std::future::pending().await;
         }
         if !matches!(
             behaviour,
--- a/testutils/src/proxy.rs
+++ b/testutils/src/proxy.rs
@@ -7,21 +7,16 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 
-/// The most connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
+use crate::server;
 
 /// The connections that fill the queue of a listener without a backlog.
 const FILLING_CONNECTIONS: usize = 3;
 
-/// The pause until a port that was in use is tried again.
-const REBIND_PAUSE: Duration = Duration::from_millis(10);
-
 /// The fault that a proxy injects into the connections of its link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkFault {
@@ -71,7 +66,7 @@
     ///
     /// Panics outside of a runtime.
     pub fn start(server: SocketAddr) -> std::io::Result<Self> {
-        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)), BACKLOG)?;
+        let listener = server::listen(SocketAddr::from(([127, 0, 0, 1], 0)), server::BACKLOG)?;
         let address = listener.local_addr()?;
         let (fault, receiver) = watch::channel((0, LinkFault::None));
         tokio::spawn(accept(listener, server, receiver));
@@ -105,12 +100,12 @@
         match state {
             LinkFault::Down | LinkFault::NoListener => {
                 drop(listener);
-                listener = rebind_after(&mut fault, address).await;
+                listener = server::rebind_after(address, fault.changed()).await;
             }
             LinkFault::Unreachable => {
                 drop(listener);
                 // The queue of the listener is full, so further connections are not established.
-                let full = rebind(address, 0).await;
+                let full = server::rebind(address, 0).await;
                 let waiting: Vec<_> = (0..FILLING_CONNECTIONS)
                     .map(|_| tokio::spawn(TcpStream::connect(address)))
                     .collect();
@@ -119,7 +114,7 @@
                     connection.abort();
                 }
                 drop(full);
-                listener = rebind(address, BACKLOG).await;
+                listener = server::rebind(address, server::BACKLOG).await;
             }
             _ => tokio::select! {
                 accepted = listener.accept() => {
@@ -133,44 +128,6 @@
     }
 }
 
-async fn rebind_after(
-    fault: &mut watch::Receiver<(u64, LinkFault)>,
-    address: SocketAddr,
-) -> TcpListener {
-    // Keeps the port: the next listener at a free port may otherwise get this one.
-    let reserved = bind(address);
-    // An error means that the proxy is gone, and its task soon, too.
-    let _ = fault.changed().await;
-    match reserved.and_then(|socket| socket.listen(BACKLOG)) {
-        Ok(listener) => listener,
-        Err(_) => rebind(address, BACKLOG).await,
-    }
-}
-
-/// Listens on an address that was in use until now.
-async fn rebind(address: SocketAddr, backlog: u32) -> TcpListener {
-    loop {
-        match listen(address, backlog) {
-            Ok(listener) => return listener,
-            Err(error) => {
-                log::debug!("cannot listen on {address} yet: {error}");
-                tokio::time::sleep(REBIND_PAUSE).await;
-            }
-        }
-    }
-}
-
-fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
-    bind(address)?.listen(backlog)
-}
-
-fn bind(address: SocketAddr) -> std::io::Result<TcpSocket> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    Ok(socket)
-}
-
 async fn forward(client: TcpStream, server: SocketAddr, fault: watch::Receiver<(u64, LinkFault)>) {
     let (opened, state) = *fault.borrow();
     let connected = match state {
--- a/testutils/src/server.rs
+++ b/testutils/src/server.rs
@@ -20,6 +20,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -39,6 +40,12 @@
 /// The pause after a failed accept, for instance while no file descriptor is free.
 pub(crate) const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
+/// The pause between two attempts to listen on an address again.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
+/// The length of the queue of connections that were not accepted yet.
+pub(crate) const BACKLOG: u32 = 1_024;
+
 /// Why a stand-in did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -64,6 +71,44 @@
         .map_err(|source| Error::Bind { address, source })
 }
 
+/// Keeps the port of a listener that was closed until `end` is ready, and refuses connections
+/// meanwhile. Then listens again. The next listener at a free port could otherwise get this one.
+pub(crate) async fn rebind_after<End>(address: SocketAddr, end: End) -> TcpListener
+where
+    End: Future,
+{
+    let reserved = reserve(address);
+    end.await;
+    match reserved.and_then(|socket| socket.listen(BACKLOG)) {
+        Ok(listener) => listener,
+        Err(_) => rebind(address, BACKLOG).await,
+    }
+}
+
+/// Listens on an address that was in use until now.
+pub(crate) async fn rebind(address: SocketAddr, backlog: u32) -> TcpListener {
+    loop {
+        match listen(address, backlog) {
+            Ok(listener) => return listener,
+            Err(error) => {
+                log::debug!("cannot listen on {address} yet: {error}");
+                tokio::time::sleep(REBIND_PAUSE).await;
+            }
+        }
+    }
+}
+
+pub(crate) fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    reserve(address)?.listen(backlog)
+}
+
+fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// Makes the close of a connection send a TCP reset instead of an orderly end.
 pub(crate) fn reset(stream: &TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
