instance: start without the socket for datagrams if it is taken

It can serve without: it then reads the store by itself and misses alarms.

Change: the task that receives datagrams binds the socket, says once in the log that it cannot, and tries again each second. What is sent meanwhile counts as unsent.

--- a/instance/src/datagram.rs
+++ b/instance/src/datagram.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
+use tokio::net::UdpSocket;
 
 use crate::release;
 use crate::shared::Shared;
@@ -29,6 +30,9 @@
 /// The pause after a failed call to the socket.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// The pause between two attempts to bind the socket.
+const BIND_PAUSE: Duration = Duration::from_secs(1);
+
 /// A datagram, as sent in JSON.
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -148,11 +152,12 @@
             return;
         }
     };
+    let socket = shared.datagrams.get();
     for address in others {
-        let outcome = match shared.datagrams.try_send_to(&bytes, *address) {
-            Ok(_) => "sent",
+        let outcome = match socket.map(|socket| socket.try_send_to(&bytes, *address)) {
+            Some(Ok(_)) => "sent",
             // Not worth a line each: the next instance of the group reads by itself.
-            Err(_) => "unsent",
+            Some(Err(_)) | None => "unsent",
         };
         count(datagram, outcome);
     }
@@ -168,14 +173,41 @@
         .increment(1);
 }
 
+/// Binds the socket unless it is bound. The instance works without it: it then reads the store by
+/// itself, and its requests are no worse off than those of an instance that misses a datagram.
+async fn bind(shared: &Shared) -> &UdpSocket {
+    let address = shared.settings.peer_address;
+    let mut has_failed = false;
+    loop {
+        if let Some(socket) = shared.datagrams.get() {
+            return socket;
+        }
+        match UdpSocket::bind(address).await {
+            Ok(socket) => {
+                if has_failed {
+                    log::info!(address:% = address; "datagrams can be exchanged now");
+                }
+                return shared.datagrams.get_or_init(|| socket);
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut has_failed, true) {
+                    log::warn!(address:% = address, error:% = error; "cannot bind the socket for datagrams; running without, and trying again");
+                }
+            }
+        }
+        tokio::time::sleep(BIND_PAUSE).await;
+    }
+}
+
 /// Receives the datagrams of other instances until the process ends.
 pub async fn run(shared: Rc<Shared>) {
+    let socket = bind(&shared).await;
     // One byte more than permitted, to tell a longer datagram.
     let mut buffer = [0; MAX_BYTES + 1];
     // Each invalid sender is logged once, so that a flood of datagrams does not flood the log.
     let mut logged: HashSet<SocketAddr> = HashSet::new();
     loop {
-        let (length, sender) = match shared.datagrams.recv_from(&mut buffer).await {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
                 log::warn!(error:% = error; "cannot receive datagrams; retrying");
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -12,7 +12,6 @@
 use camphorhold_platform::settings::Settings;
 use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
-use tokio::net::UdpSocket;
 use tokio::runtime::Runtime;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -114,7 +113,6 @@
     let callers = listen(settings.caller_address)?;
     let readiness = listen(settings.readiness_address)?;
     let peers = listen(settings.peer_address)?;
-    let datagrams = bind_datagrams(settings.peer_address).await?;
     log::info!(
         instance = &*settings.name,
         domain = &*settings.domain,
@@ -123,7 +121,7 @@
         callers:% = settings.caller_address;
         "started"
     );
-    let shared = Rc::new(Shared::new(settings, Box::new(SystemClock), datagrams));
+    let shared = Rc::new(Shared::new(settings, Box::new(SystemClock)));
     let connections = Rc::new(Connections::default());
     let mirror = Rc::new(RefCell::new(Mirror::new(Rc::clone(&shared))));
     let state = Rc::clone(&shared);
@@ -197,11 +195,6 @@
     server::listen(address).map_err(|source| StartError::Listen { address, source })
 }
 
-async fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket, StartError> {
-    let socket = UdpSocket::bind(address).await;
-    socket.map_err(|source| StartError::Listen { address, source })
-}
-
 async fn wait_for_termination(
     terminate: &mut Signal,
     reload: &mut Signal,
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of an instance share. All tasks run on one thread.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -130,8 +131,9 @@
     pub leaf_pool: Pool<LeafKey>,
     /// Idle connections to other instances.
     pub peer_pool: Pool<SocketAddr>,
-    /// The socket for datagrams between instances, at the address for other instances.
-    pub datagrams: UdpSocket,
+    /// The socket for datagrams between instances, at the address for other instances, once it is
+    /// bound.
+    pub datagrams: OnceCell<UdpSocket>,
     /// Whether the watch of the store still returns changes.
     pub watch: RefCell<watch::Monitor>,
     /// Wakes whoever waits for [`Shared::watch`] to change.
@@ -165,7 +167,7 @@
 
 impl Shared {
     /// Creates the state of an instance that has read its settings but nothing from the store.
-    pub fn new(settings: Settings, clock: Box<dyn Clock>, datagrams: UdpSocket) -> Self {
+    pub fn new(settings: Settings, clock: Box<dyn Clock>) -> Self {
         let now = clock.now();
         let mut fleet = Fleet::new(settings.domain.clone());
         fleet.set_instances(INITIAL_INSTANCES, INITIAL_INSTANCES);
@@ -193,7 +195,7 @@
             read_budget: ReadBudget::new(read_bytes),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
-            datagrams,
+            datagrams: OnceCell::new(),
             watch: RefCell::default(),
             watch_changed: Notify::new(),
             store_era: Cell::new(None),
--- a/instance/tests/process.rs
+++ b/instance/tests/process.rs
@@ -53,6 +53,26 @@
     assert!(run.deadline_ms <= 3_000 && run.deadline_ms > 2_000);
 }
 
+/// Guards against an instance that exits at its start because it cannot exchange datagrams yet, and
+/// against one that never does afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_starts_while_its_socket_for_datagrams_is_taken() {
+    let platform = Platform::start(&TWO_SHARDS).await;
+    let mut instance = Instance::start(&platform, "1", "a").await;
+    instance.kill();
+    let address = instance.peer_address();
+    let taken = std::net::UdpSocket::bind(address).unwrap();
+    instance.restart().await;
+    let answer = instance.send("r1", "/all/x").await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    drop(taken);
+    // A bound socket of another program shows in the error of a second one.
+    wait_until("the instance binds its socket", || async {
+        std::net::UdpSocket::bind(address).is_err()
+    })
+    .await;
+}
+
 /// Guards against a query that fails, or waits for its deadline, because all leafs of one shard
 /// hang. The instance must answer with the other shard within the objective.
 #[tokio::test(flavor = "multi_thread")]
