serving: end no second leaf of a shard under a harmful query

What made the other queries fail for three seconds was what came after it: the canary of the first attempt, those of the next attempts, the trial and hedges took the second leafs of the same shards (canaries and trials always of the first shards of the list). Two or three shards without any leaf fail each query over 20 shards that needs 18.

Changes: - After a loss a query waits for its calls in progress, which show sooner what it does, and sends the canary only when they do not answer in time. - While it is being found out whether the lost leafs have ended, no canary is sent. - A query under which leafs have ended, here or at another instance, is tried only while enough shards for an answer have another leaf that is reached; and on a shard that has one.

Three tests of the guard have changed: they asked for a canary at the first loss while other calls were in progress. They now ask that none is sent then (which is stricter), that it is sent when the calls do not answer, and for the same as before afterwards.

--- a/instance/src/alarm.rs
+++ b/instance/src/alarm.rs
@@ -24,7 +24,7 @@
     pub called: Vec<LeafKey>,
 }
 
-/// Raises an alarm about a request at all instances, if the leafs that were lost accept no connections
+/// Raises an alarm about a request at all instances, and returns true, if the leafs that were lost accept no connections
 /// while another one does: leafs also reset connections because they have too many. Links that fail
 /// one after the other may look the same, so whether leafs have ended is found out later, see
 /// [`crate::crashes::Attempt::end`].
@@ -33,14 +33,16 @@
     forwarded: &Rc<ForwardedRequest>,
     level: Level,
     loss: Loss,
-) -> impl Future<Output = ()> + use<> {
+) -> impl Future<Output = bool> + use<> {
     let shared = Rc::clone(shared);
     let forwarded = Rc::clone(forwarded);
     async move {
         let services = forwarded.route.target.services();
-        if is_down_alone(&shared, &services, &loss.leafs, &loss.called).await {
+        let are_down = is_down_alone(&shared, &services, &loss.leafs, &loss.called).await;
+        if are_down {
             datagram::raise_alarm(&shared, forwarded.fingerprint(), level);
         }
+        are_down
     }
 }
 
@@ -51,11 +53,13 @@
     leafs: &[LeafKey],
     called: &[LeafKey],
 ) -> bool {
-    let references =
-        shared
-            .fleet
-            .borrow()
-            .sample_of_others(services, called, MAX_REFERENCES, shared.jitter());
+    let references = shared.fleet.borrow().sample_of_others(
+        services,
+        leafs,
+        called,
+        MAX_REFERENCES,
+        shared.jitter(),
+    );
     let (responses, any_reference_accepts) = tokio::join!(
         join_all(leafs.iter().map(|leaf| probe::connect(shared, *leaf))),
         probe::any_accepts_connections(shared, &references)
--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -93,6 +93,14 @@
     let fingerprint = forwarded.fingerprint();
     match caution(shared, fingerprint) {
         Caution::Free => {}
+        Caution::OneLeafFirst if !can_spare_leaf(shared, &forwarded.route.target) => {
+            return Err(refuse(
+                forwarded,
+                fingerprint,
+                "too few shards can spare a leaf",
+                TRIAL_PAUSE,
+            ));
+        }
         Caution::OneLeafFirst => attempt.is_careful = true,
         Caution::Hold { until } => {
             let pause = until.saturating_duration_since(shared.now());
@@ -111,7 +119,9 @@
             .admit(fingerprint, shared.now())
     };
     let mut admission = admit();
-    if let Admission::Trial(write) = admission {
+    if let Admission::Trial(write) = admission
+        && can_spare_leaf(shared, &forwarded.route.target)
+    {
         match attempt.claim(write).await {
             Claim::Accepted => return Ok(attempt),
             // The record read meanwhile may say that the request is no longer suspect.
@@ -134,6 +144,19 @@
     Err(refuse(forwarded, fingerprint, reason, pause))
 }
 
+/// Returns whether a suspect request may be tried on a leaf. A query over several shards waits until
+/// leafs that have ended are back or gone for good: those that are left do their work.
+fn can_spare_leaf(shared: &Shared, target: &Target) -> bool {
+    match target {
+        Target::Shards(scope) if scope.shards.len() > 1 => {
+            let services = scope.shards.iter().map(|service| &**service);
+            let fleet = shared.fleet.borrow();
+            fleet.can_spare_leafs(services, scope.min_coverage)
+        }
+        Target::Shards(_) | Target::Service(_) | Target::Split(_) => true,
+    }
+}
+
 /// Records that a request is refused. Returns the time after which its caller may send it again.
 fn refuse(
     forwarded: &ForwardedRequest,
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use camphorhold::coordination::serving::Fanout;
+use camphorhold::coordination::serving::alarms::Caution;
 use camphorhold::coordination::serving::alarms::Level;
 use camphorhold::coordination::serving::fanout;
 use camphorhold::coordination::serving::fanout::Context;
@@ -111,7 +112,7 @@
     lost: Vec<LeafKey>,
     // What the lost connections say so far, and the task that tells the other instances.
     alarm_level: Option<Level>,
-    alarm: Option<JoinHandle<()>>,
+    alarm: Option<JoinHandle<bool>>,
 }
 
 /// Hands `groups` over and makes the other calls of a request, until the fan-out reaches a verdict.
@@ -148,6 +149,7 @@
             biased;
             Some(end) = calls.next() => gathering.on_call_end(end),
             Some(end) = handovers.next() => gathering.on_handover_end(end),
+            are_down = finished(&mut gathering.alarm) => gathering.fanout.on_inquiry_end(are_down),
             () = &mut timer => gathering.on_timer(),
         }
     };
@@ -224,6 +226,17 @@
         });
     }
 
+    /// Sends the request to no second leaf of a shard if another instance suspects that leafs end under
+    /// it.
+    fn heed_alarms(&mut self) {
+        let alarms = self.shared.alarms.borrow();
+        if !alarms.is_empty()
+            && alarms.caution(self.forwarded.fingerprint(), self.shared.now()) != Caution::Free
+        {
+            self.fanout.on_alarm(self.shared.now());
+        }
+    }
+
     /// Requests the shards of late handovers elsewhere: those of an owner from their leafs, those of
     /// a coordinator through coordinators in other failure domains, which have the other leafs.
     fn on_late_handovers(&mut self) {
@@ -329,6 +342,9 @@
         self.alarm_level = Some(level);
         let alarm = alarm::raise(self.shared, self.forwarded, level, self.loss());
         self.alarm = Some(tokio::task::spawn_local(alarm));
+        if is_query {
+            self.fanout.on_inquiry_start();
+        }
     }
 
     fn loss(&self) -> Loss {
@@ -347,7 +363,7 @@
             lost,
         } = end;
         for leaf in lost {
-            self.fanout.on_lost_elsewhere();
+            self.fanout.on_lost_elsewhere(self.shared.now());
             self.on_lost(leaf);
             self.raise_alarm();
         }
@@ -409,6 +425,7 @@
     }
 
     fn on_timer(&mut self) {
+        self.heed_alarms();
         self.on_late_handovers();
         with_context(self.shared, |context| {
             self.fanout.on_timer(context, &mut self.new_calls);
@@ -442,6 +459,17 @@
     }
 }
 
+/// Waits until the task that raises an alarm ends, and returns whether leafs have ended. Never returns
+/// without a task.
+async fn finished(alarm: &mut Option<JoinHandle<bool>>) -> bool {
+    let Some(task) = alarm else {
+        return std::future::pending().await;
+    };
+    let are_down = task.await.unwrap_or(false);
+    *alarm = None;
+    are_down
+}
+
 /// Returns the shards with the names of their services.
 fn name_shards<'a>(services: &'a [Box<str>], shards: &[usize]) -> Vec<(usize, &'a str)> {
     shards
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -85,6 +85,7 @@
         let local = with_assignment(|assignment| assignment == ShardAssignment::Local);
         let open = with_assignment(|assignment| assignment != ShardAssignment::Skipped).len();
         let open = u32::try_from(open).unwrap_or(u32::MAX);
+        let is_query = request.shards.len() > 1;
         let mut fanout = Self {
             shards: request.shards.into_iter().map(Progress::new).collect(),
             started: request.started,
@@ -99,7 +100,7 @@
             answered: 0,
             open,
             may_have_run: false,
-            crash_guard: CrashGuard::new(request.is_suspect, request.permits_canary),
+            crash_guard: CrashGuard::new(request.is_suspect, request.permits_canary, is_query),
             hedges: 0,
             retries: 0,
         };
@@ -109,10 +110,15 @@
             }
         }
         let mut calls = Vec::with_capacity(fanout.shards.len());
-        for index in local {
-            let service = &fanout.shards[index].service;
+        for index in &local {
+            let service = &fanout.shards[*index].service;
             context.retry_budgets.on_request(service, context.now);
-            fanout.call_or_wait(index, context, &mut calls);
+        }
+        // No shard gets the first call of all suspect queries.
+        let first = first_position(local.len(), context.jitter);
+        let (rest, start) = local.split_at(if request.is_suspect { first } else { 0 });
+        for index in start.iter().chain(rest) {
+            fanout.call_or_wait(*index, context, &mut calls);
         }
         (fanout, calls)
     }
@@ -135,7 +141,10 @@
             Outcome::NotRun | Outcome::Unsent | Outcome::Failed => {
                 self.crash_guard.on_inconclusive(leaf);
             }
-            Outcome::Lost => self.crash_guard.on_lost(leaf),
+            Outcome::Lost => {
+                let canary_from = self.canary_from(context.now);
+                self.crash_guard.on_lost(leaf, canary_from);
+            }
         }
         let progress = &mut self.shards[shard];
         if progress.state != State::Open {
@@ -214,7 +223,7 @@
 
     /// Records that a leaf has survived the request, and sends the calls that have waited for it.
     fn on_survived(&mut self, context: &mut Context<'_>, calls: &mut Vec<LeafCall>) {
-        let resumes = !self.crash_guard.permits_call();
+        let resumes = self.crash_guard.suspicion().is_some();
         self.crash_guard.on_survived();
         if !resumes {
             return;
@@ -228,8 +237,57 @@
     }
 
     /// Records that the instance with a handover has lost connections to leafs under the request.
-    pub fn on_lost_elsewhere(&mut self) {
-        self.crash_guard.on_lost_elsewhere();
+    pub fn on_lost_elsewhere(&mut self, now: Instant) {
+        let canary_from = self.canary_from(now);
+        self.crash_guard.on_lost_elsewhere(canary_from);
+    }
+
+    /// Records that another instance suspects that leafs have ended under the request.
+    pub fn on_alarm(&mut self, now: Instant) {
+        self.on_lost_elsewhere(now);
+        self.crash_guard.on_inquiry_end(true);
+    }
+
+    /// Returns how long the canary waits for calls in progress after a loss: until the leafs that
+    /// survive the request should have answered.
+    fn canary_from(&self, now: Instant) -> Instant {
+        now + self.hedge_delay.unwrap_or_default()
+    }
+
+    /// Records that it is being found out whether the leafs have ended whose connections were lost. The
+    /// canary waits for that.
+    pub fn on_inquiry_start(&mut self) {
+        self.crash_guard.on_inquiry_start();
+    }
+
+    /// Records whether leafs have ended whose connections were lost. If so, the canary goes to no shard
+    /// that would have no leaf left after its loss.
+    pub fn on_inquiry_end(&mut self, have_ended: bool) {
+        self.crash_guard.on_inquiry_end(have_ended);
+    }
+
+    /// Returns whether something may show that leafs survive the request: a call in progress, what is
+    /// being found out about the leafs that were lost, or a canary to another shard.
+    fn may_be_permitted_later(&self, context: &Context<'_>) -> bool {
+        self.has_calls()
+            || self.crash_guard.awaits_inquiry()
+            || (self.crash_guard.requires_spare() && self.can_spare_leafs(context))
+    }
+
+    /// Returns whether a shard may get the next call as far as leafs that may end under it are
+    /// concerned.
+    fn permits_call(&self, shard: usize, context: &Context<'_>) -> bool {
+        let service = &self.shards[shard].service;
+        let spares = || context.fleet.can_spare_leaf(service) && self.can_spare_leafs(context);
+        self.crash_guard.permits_call(self.has_calls(), context.now)
+            && (!self.crash_guard.requires_spare() || spares())
+    }
+
+    /// Returns whether enough shards for an answer could do without a leaf. Otherwise the leafs that
+    /// are left already do the work of others, and the canary would end one more of them.
+    fn can_spare_leafs(&self, context: &Context<'_>) -> bool {
+        let services = self.shards.iter().map(|progress| &*progress.service);
+        context.fleet.can_spare_leafs(services, self.min_coverage)
     }
 
     /// Returns whether an open shard may be handed over once more, to another instance, and records
@@ -388,9 +446,9 @@
 
     /// Sends a call, or waits if a leaf may become available in time, or else fails the shard.
     fn call_or_wait(&mut self, shard: usize, context: &mut Context<'_>, calls: &mut Vec<LeafCall>) {
-        if !self.crash_guard.permits_call() {
-            // Any call in progress may show that leafs survive the request.
-            let waits = self.has_calls() && context.now + RECHECK < self.answer_by;
+        if !self.permits_call(shard, context) {
+            let waits =
+                self.may_be_permitted_later(context) && context.now + RECHECK < self.answer_by;
             self.wait_or_fail(shard, waits, context);
             return;
         }
@@ -493,3 +551,15 @@
         (progress.tried.contains(&leaf) || progress.tried.len() < self.max_leafs).then_some(leaf)
     }
 }
+
+/// Returns the position, of `count`, at which an order of shards starts.
+fn first_position(count: usize, jitter: f32) -> usize {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "the product lies between 0 and the number of shards"
+    )]
+    let position = (jitter * count as f32) as usize;
+    position.min(count.saturating_sub(1))
+}
--- a/lib/src/coordination/serving/fanout/crash_guard.rs
+++ b/lib/src/coordination/serving/fanout/crash_guard.rs
@@ -2,9 +2,12 @@
 //!
 //! A request whose connection to a leaf was lost may have ended the leaf. Until a leaf has survived
 //! it, it is sent to one further leaf only, the canary, and to no more if that connection is lost,
-//! too, unless a call sent before is survived. A request that is known to have ended leafs starts with
+//! too, unless a call sent before is survived. While such calls are in progress they are expected to
+//! show that, and the canary waits for a while. A request that is known to have ended leafs starts with
 //! its canary. An instance that was handed shards of a query sends no canary: each of them would.
 
+use std::time::Instant;
+
 use crate::coordination::serving::alarms::Level;
 use crate::coordination::serving::fleet::LeafKey;
 
@@ -29,11 +32,18 @@
 pub(super) struct CrashGuard {
     state: State,
     permits_canary: bool,
+    // From when on the canary does not wait for calls in progress.
+    canary_from: Option<Instant>,
+    // Whether it is being found out if leafs have ended.
+    awaits_inquiry: bool,
+    // Whether the canary needs a shard that has another leaf left.
+    requires_spare: bool,
 }
 
 impl CrashGuard {
-    /// Creates the guard of a request that has ended leafs before, or has not as far as is known.
-    pub(super) fn new(is_suspect: bool, permits_canary: bool) -> Self {
+    /// Creates the guard of a request that has ended leafs before, or has not as far as is known. A
+    /// query over several shards can spare one of them, and tries no shard on its last leaf.
+    pub(super) fn new(is_suspect: bool, permits_canary: bool, is_query: bool) -> Self {
         let state = if is_suspect {
             State::Suspect
         } else {
@@ -42,17 +52,45 @@
         Self {
             state,
             permits_canary,
+            canary_from: None,
+            awaits_inquiry: false,
+            requires_spare: is_suspect && is_query,
         }
     }
 
-    /// Returns whether a call may be sent now.
-    pub(super) fn permits_call(self) -> bool {
+    /// Returns whether a call may be sent now. `has_calls` says whether others are in progress.
+    pub(super) fn permits_call(self, has_calls: bool, now: Instant) -> bool {
         match self.state {
-            State::Clear | State::Suspect | State::Survived => true,
+            State::Clear | State::Survived => true,
+            State::Suspect => {
+                !self.awaits_inquiry
+                    && (!has_calls || self.canary_from.is_none_or(|from| now >= from))
+            }
             State::Canary(_) | State::Harmful | State::Stopped => false,
         }
     }
 
+    /// Returns whether the next call needs a shard that has another leaf left.
+    pub(super) fn requires_spare(self) -> bool {
+        self.requires_spare && self.state == State::Suspect
+    }
+
+    /// Returns whether the canary waits until it is known if leafs have ended.
+    pub(super) fn awaits_inquiry(self) -> bool {
+        self.awaits_inquiry && self.state == State::Suspect
+    }
+
+    /// Records that it is being found out if leafs have ended.
+    pub(super) fn on_inquiry_start(&mut self) {
+        self.awaits_inquiry = true;
+    }
+
+    /// Records if leafs have ended.
+    pub(super) fn on_inquiry_end(&mut self, have_ended: bool) {
+        self.awaits_inquiry = false;
+        self.requires_spare |= have_ended;
+    }
+
     /// Returns whether a call may be sent although another one of its shard is in progress.
     pub(super) fn permits_hedge(self) -> bool {
         matches!(self.state, State::Clear | State::Survived)
@@ -78,12 +116,25 @@
         }
     }
 
-    /// Records that the connection to a leaf was lost.
-    pub(super) fn on_lost(&mut self, leaf: LeafKey) {
+    /// Records that the connection to a leaf was lost. The canary waits for calls in progress until
+    /// `canary_from`.
+    pub(super) fn on_lost(&mut self, leaf: LeafKey, canary_from: Instant) {
+        if self.state == State::Canary(leaf) {
+            self.state = State::Harmful;
+        } else {
+            self.on_lost_elsewhere(canary_from);
+        }
+    }
+
+    /// Records that another instance has lost connections under the request. The canary waits for calls
+    /// in progress until `canary_from`.
+    pub(super) fn on_lost_elsewhere(&mut self, canary_from: Instant) {
         match self.state {
-            State::Clear if self.permits_canary => self.state = State::Suspect,
+            State::Clear if self.permits_canary => {
+                self.state = State::Suspect;
+                self.canary_from = Some(canary_from);
+            }
             State::Clear => self.state = State::Stopped,
-            State::Canary(canary) if canary == leaf => self.state = State::Harmful,
             State::Suspect
             | State::Canary(_)
             | State::Harmful
@@ -92,13 +143,6 @@
         }
     }
 
-    /// Records that another instance has lost connections under the request.
-    pub(super) fn on_lost_elsewhere(&mut self) {
-        if self.state == State::Clear {
-            self.state = State::Suspect;
-        }
-    }
-
     /// Returns what lost connections say about the request.
     pub(super) fn suspicion(self) -> Option<Level> {
         match self.state {
--- a/lib/src/coordination/serving/fleet.rs
+++ b/lib/src/coordination/serving/fleet.rs
@@ -22,6 +22,7 @@
 pub use self::leaf::Standing;
 use super::rate_limit::Claim;
 use super::rate_limit::wanted_tokens;
+use crate::coordination::merge::Coverage;
 use crate::state::rate::RequestRate;
 
 new_key_type! {
@@ -300,6 +301,36 @@
             .map(|(key, _)| key)
     }
 
+    /// Returns whether a service has another leaf left if one ends: one that this instance has not
+    /// failed to reach last, or none that it could have.
+    #[must_use]
+    pub fn can_spare_leaf(&self, service: &str) -> bool {
+        let members = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let reached = members
+            .iter()
+            .filter_map(|key| self.leafs.get(*key))
+            .filter(|leaf| self.is_permitted(leaf) && leaf.is_reached());
+        members.len() <= 1 || reached.count() >= 2
+    }
+
+    /// Returns whether at least a share of shards has another leaf left if one ends, see
+    /// [`Self::can_spare_leaf`].
+    #[must_use]
+    pub fn can_spare_leafs<'a, I>(&self, shards: I, share: f64) -> bool
+    where
+        I: IntoIterator<Item = &'a str>,
+    {
+        let mut coverage = Coverage {
+            answered: 0,
+            in_scope: 0,
+        };
+        for service in shards {
+            coverage.in_scope += 1;
+            coverage.answered += u32::from(self.can_spare_leaf(service));
+        }
+        coverage.reaches(share)
+    }
+
     /// Returns whether any leaf of a service may receive work, now or after its backoff, at the
     /// latest at `by`.
     #[must_use]
--- a/lib/src/coordination/serving/fleet/leaf.rs
+++ b/lib/src/coordination/serving/fleet/leaf.rs
@@ -217,6 +217,11 @@
         self.backoff_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the leaf has answered since the last failed connection, if there was one.
+    pub(super) fn is_reached(&self) -> bool {
+        self.consecutive_failures == 0
+    }
+
     /// Returns the latest entry of the leaf.
     #[must_use]
     pub fn entry(&self) -> &LeafEntry {
--- a/lib/src/coordination/serving/fleet/sample.rs
+++ b/lib/src/coordination/serving/fleet/sample.rs
@@ -12,18 +12,27 @@
         self.sample_where(|key, _| !avoid.contains(&key), count, jitter)
     }
 
-    /// Returns up to `count` leafs of other services than those; leafs of any service that are not in
-    /// `avoid` if there are no others.
+    /// Returns up to `count` leafs of other services than those, to compare the leafs in `lost` with.
+    /// They are in the failure domains of `lost`, so that the loss of a domain is told from theirs; in
+    /// any domain if there are none, and of any service, not in `avoid`, if there are no others.
     #[must_use]
     pub fn sample_of_others(
         &self,
         services: &[&str],
+        lost: &[LeafKey],
         avoid: &[LeafKey],
         count: usize,
         jitter: f32,
     ) -> Vec<LeafKey> {
-        let is_other = |_, leaf: &Leaf| !services.contains(&&*leaf.entry().service);
-        let others = self.sample_where(is_other, count, jitter);
+        let lost = lost.iter().filter_map(|key| self.get(*key));
+        let domains: Vec<&str> = lost.map(|leaf| &*leaf.entry().domain).collect();
+        let is_other = |leaf: &Leaf| !services.contains(&&*leaf.entry().service);
+        let is_near = |_, leaf: &Leaf| is_other(leaf) && domains.contains(&&*leaf.entry().domain);
+        let near = self.sample_where(is_near, count, jitter);
+        if !near.is_empty() {
+            return near;
+        }
+        let others = self.sample_where(|_, leaf| is_other(leaf), count, jitter);
         if others.is_empty() {
             self.sample(avoid, count, jitter)
         } else {
--- a/lib/tests/serving_crash_guard.rs
+++ b/lib/tests/serving_crash_guard.rs
@@ -18,6 +18,7 @@
 use camphorhold::coordination::serving::fanout::Shard;
 use camphorhold::coordination::serving::fanout::ShardAssignment;
 use camphorhold::coordination::serving::fanout::Verdict;
+use camphorhold::coordination::serving::fleet::CallResult;
 use camphorhold::coordination::serving::retry_budget::Bound;
 use camphorhold::state::plan::CallSemantics;
 use serving_support::AMPLE_LIMITS;
@@ -101,6 +102,20 @@
         Fanout::start(request, &mut self.context(0))
     }
 
+    /// Records for all requests that the leaf of a call could not be reached.
+    fn disconnect(&mut self, call: LeafCall, after: u64) {
+        let now = self.start + ms(after);
+        self.fleet.on_sent(call.leaf, ms(10), self.start);
+        self.fleet
+            .on_result(call.leaf, self.start, CallResult::Disconnected, now);
+    }
+
+    fn timer(&mut self, fanout: &mut Fanout, after: u64) -> Vec<LeafCall> {
+        let mut further = Vec::new();
+        fanout.on_timer(&mut self.context(after), &mut further);
+        further
+    }
+
     fn end(
         &mut self,
         fanout: &mut Fanout,
@@ -115,33 +130,19 @@
     }
 }
 
-/// Guards against a query that ends a second leaf of every shard when its lost calls are replaced.
+/// Guards against a query that ends a second leaf of every shard when its lost calls are replaced, or
+/// any second leaf while others may show what it does.
 #[test]
 fn lost_calls_are_replaced_by_one_canary_only() {
     let mut world = World::new();
     let (mut fanout, calls) = world.start_request(false);
     assert_eq!(calls.len(), 3);
-    let canary = world.end(&mut fanout, calls[0], Outcome::Lost, 5);
+    assert_eq!(world.end(&mut fanout, calls[0], Outcome::Lost, 5), []);
+    assert_eq!(world.end(&mut fanout, calls[1], Outcome::Lost, 6), []);
+    let canary = world.end(&mut fanout, calls[2], Outcome::Lost, 7);
     assert_eq!(canary.len(), 1);
-    assert!(
-        world
-            .end(&mut fanout, calls[1], Outcome::Lost, 6)
-            .is_empty()
-    );
-    assert!(
-        world
-            .end(&mut fanout, calls[2], Outcome::Lost, 7)
-            .is_empty()
-    );
-    assert!(
-        world
-            .end(&mut fanout, canary[0], Outcome::Lost, 9)
-            .is_empty()
-    );
-    let mut further = Vec::new();
-    let mut context = world.context(100);
-    fanout.on_timer(&mut context, &mut further);
-    assert!(further.is_empty());
+    assert_eq!(world.end(&mut fanout, canary[0], Outcome::Lost, 9), []);
+    assert_eq!(world.timer(&mut fanout, 100), []);
     assert!(!fanout.has_survivor());
     assert!(matches!(
         fanout.verdict(world.start + ms(100)),
@@ -153,24 +154,94 @@
     ));
 }
 
+/// Guards against a query that waits in vain for calls in progress after the loss of another one.
+#[test]
+fn the_canary_is_sent_if_the_calls_in_progress_do_not_answer() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request(false);
+    assert_eq!(world.end(&mut fanout, calls[0], Outcome::Lost, 5), []);
+    assert_eq!(world.timer(&mut fanout, 30), []);
+    let canary = world.timer(&mut fanout, 46);
+    assert_eq!(canary.len(), 1);
+    assert_eq!(canary[0].shard, calls[0].shard);
+}
+
+/// Guards against a query that ends the last leaf of a shard, which all other queries then lack.
+#[test]
+fn the_canary_goes_to_no_last_leaf_of_a_shard_once_leafs_have_ended() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_request(false);
+    fanout.on_inquiry_start();
+    for call in &calls {
+        world.disconnect(*call, 5);
+        assert_eq!(world.end(&mut fanout, *call, Outcome::Lost, 5), []);
+    }
+    fanout.on_inquiry_end(true);
+    assert_eq!(world.timer(&mut fanout, 25), []);
+    assert!(fanout.verdict(world.start + ms(25)).is_some());
+
+    // The loss had another cause.
+    let (mut fanout, calls) = world.start_request(false);
+    fanout.on_inquiry_start();
+    for call in &calls {
+        assert_eq!(world.end(&mut fanout, *call, Outcome::Lost, 5), []);
+    }
+    fanout.on_inquiry_end(false);
+    assert_eq!(world.timer(&mut fanout, 25).len(), 1);
+}
+
+/// Guards against a suspect query that is tried on the last leaf of a shard, that is not tried although
+/// enough shards have more than one, or that is tried although most have lost one.
+#[test]
+fn a_suspect_query_is_tried_while_enough_shards_can_spare_a_leaf() {
+    let mut world = World::new();
+    let (_, calls) = world.start_request(false);
+    world.disconnect(calls[0], 5);
+    let (fanout, canary) = world.start_request(true);
+    assert_eq!(canary.len(), 1);
+    assert_eq!(canary[0].shard, calls[1].shard);
+    assert_eq!(fanout.verdict(world.start), None);
+    world.disconnect(calls[1], 5);
+    let (fanout, canary) = world.start_request(true);
+    assert_eq!(canary, []);
+    assert!(matches!(
+        fanout.verdict(world.start),
+        Some(Verdict::GiveUp {
+            may_have_run: false,
+            ..
+        })
+    ));
+}
+
+/// Guards against second copies of a query that another instance has seen end leafs.
+#[test]
+fn an_alarm_of_another_instance_stops_hedges() {
+    let mut world = World::new();
+    let (mut fanout, _) = world.start_request(false);
+    assert_eq!(world.timer(&mut fanout, 41).len(), 3);
+    for permits_canary in [true, false] {
+        let (mut fanout, calls) = world.start_request_with(false, permits_canary);
+        fanout.on_alarm(world.start + ms(30));
+        assert_eq!(world.timer(&mut fanout, 41), []);
+        world.end(&mut fanout, calls[0], Outcome::Answered, 42);
+        assert!(fanout.has_survivor());
+    }
+}
+
 /// Guards against a query that loses shards although only their connections were broken: once a
 /// leaf has survived it, the other lost calls are replaced at once.
 #[test]
 fn lost_calls_are_replaced_as_soon_as_a_leaf_has_survived() {
     let mut world = World::new();
     let (mut fanout, calls) = world.start_request(false);
-    let canary = world.end(&mut fanout, calls[0], Outcome::Lost, 5);
-    assert!(
-        world
-            .end(&mut fanout, calls[1], Outcome::Lost, 6)
-            .is_empty()
-    );
+    assert_eq!(world.end(&mut fanout, calls[0], Outcome::Lost, 5), []);
+    assert_eq!(world.end(&mut fanout, calls[1], Outcome::Lost, 6), []);
     let replaced = world.end(&mut fanout, calls[2], Outcome::Answered, 20);
-    assert_eq!(replaced.len(), 1);
-    assert_eq!(replaced[0].shard, 1);
+    let shards: Vec<usize> = replaced.iter().map(|call| call.shard).collect();
+    assert_eq!(shards, [0, 1]);
     assert!(fanout.has_survivor());
-    world.end(&mut fanout, canary[0], Outcome::Answered, 25);
-    world.end(&mut fanout, replaced[0], Outcome::Answered, 40);
+    world.end(&mut fanout, replaced[0], Outcome::Answered, 25);
+    world.end(&mut fanout, replaced[1], Outcome::Answered, 40);
     let verdict = fanout.verdict(world.start + ms(40));
     assert!(matches!(verdict, Some(Verdict::Answer(coverage)) if coverage.is_complete()));
 }
@@ -233,19 +304,12 @@
 fn shards_wait_for_survivors_when_the_canary_is_lost() {
     let mut world = World::new();
     let (mut fanout, calls) = world.start_request(false);
-    let canary = world.end(&mut fanout, calls[0], Outcome::Lost, 5);
-    assert!(
-        world
-            .end(&mut fanout, canary[0], Outcome::Lost, 8)
-            .is_empty()
-    );
-    assert!(
-        world
-            .end(&mut fanout, calls[1], Outcome::Lost, 9)
-            .is_empty()
-    );
-    assert_eq!(fanout.verdict(world.start + ms(9)), None);
-    let replaced = world.end(&mut fanout, calls[2], Outcome::Answered, 30);
+    assert_eq!(world.end(&mut fanout, calls[0], Outcome::Lost, 5), []);
+    let canary = world.timer(&mut fanout, 46);
+    assert_eq!(world.end(&mut fanout, canary[0], Outcome::Lost, 48), []);
+    assert_eq!(world.end(&mut fanout, calls[1], Outcome::Lost, 49), []);
+    assert_eq!(fanout.verdict(world.start + ms(49)), None);
+    let replaced = world.end(&mut fanout, calls[2], Outcome::Answered, 60);
     let shards: Vec<usize> = replaced.iter().map(|call| call.shard).collect();
     assert_eq!(shards, [0, 1]);
 }
@@ -270,10 +334,12 @@
     let mut world = World::new();
     let (mut fanout, calls) = world.start_request(false);
     assert_eq!(fanout.suspicion(), None);
-    let canary = world.end(&mut fanout, calls[0], Outcome::Lost, 2);
+    world.end(&mut fanout, calls[0], Outcome::Lost, 2);
     assert_eq!(fanout.suspicion(), Some(Level::Suspected));
     world.end(&mut fanout, calls[1], Outcome::Lost, 3);
     assert_eq!(fanout.suspicion(), Some(Level::Suspected));
-    world.end(&mut fanout, canary[0], Outcome::Lost, 4);
+    let canary = world.end(&mut fanout, calls[2], Outcome::Lost, 4);
+    assert_eq!(fanout.suspicion(), Some(Level::Suspected));
+    world.end(&mut fanout, canary[0], Outcome::Lost, 5);
     assert_eq!(fanout.suspicion(), Some(Level::Confirmed));
 }
--- a/lib/tests/serving_fleet.rs
+++ b/lib/tests/serving_fleet.rs
@@ -404,3 +404,48 @@
     assert_eq!(fleet.rest_end("s", now + ms(2_005)), None);
     assert_eq!(chosen(&fleet, now + ms(2_005)).as_deref(), Some("near"));
 }
+
+/// Guards against leafs that are compared with those of a failure domain that works, although their own
+/// has failed.
+#[test]
+fn lost_leafs_are_compared_with_other_services_of_their_failure_domain() {
+    let now = Instant::now();
+    let fleet = fleet(
+        &[
+            ("s1a", "s1", "a"),
+            ("s1b", "s1", "b"),
+            ("s2a", "s2", "a"),
+            ("s2b", "s2", "b"),
+        ],
+        now,
+    );
+    let key = |id: &str| fleet.find(id).unwrap();
+    let sample = |services: &[&str], lost: &str| {
+        fleet.sample_of_others(services, &[key(lost)], &[key("s1a")], 3, 0.0)
+    };
+    assert_eq!(sample(&["s1"], "s1a"), [key("s2a")]);
+    assert_eq!(sample(&["s1"], "s1b"), [key("s2b")]);
+    // A query to all services has only leafs that it has not called.
+    assert!(!sample(&["s1", "s2"], "s1a").contains(&key("s1a")));
+}
+
+/// Guards against a query that is tried although the leafs that are left do the work of others, and
+/// against one that is never tried because a service has one leaf only.
+#[test]
+fn a_shard_can_spare_a_leaf_while_another_one_is_reached() {
+    let now = Instant::now();
+    let mut fleet = fleet(
+        &[("s1a", "s1", "a"), ("s1b", "s1", "b"), ("s2a", "s2", "a")],
+        now,
+    );
+    assert!(fleet.can_spare_leafs(["s1", "s2"], 1.0));
+    let lost = fleet.find("s1a").unwrap();
+    fleet.on_sent(lost, ms(10), now);
+    fleet.on_result(lost, now, CallResult::Disconnected, now);
+    assert!(!fleet.can_spare_leaf("s1"));
+    assert!(fleet.can_spare_leafs(["s1", "s2"], 0.5));
+    assert!(!fleet.can_spare_leafs(["s1", "s2"], 0.6));
+    fleet.on_sent(lost, ms(10), now);
+    fleet.on_result(lost, now, CallResult::Answered(ms(10)), now);
+    assert!(fleet.can_spare_leaf("s1"));
+}
