serving: hedge one shard of a query until a leaf has answered

When none of several leafs has answered, a second copy of one shard shows as much as copies of all, and risks less.

Ruled out: an alarm at the first loss. Leafs end for other reasons, and each query in progress at one would raise it.

Change: the first hedge of a query is sent as before; the next ones wait until a leaf has answered.

The test of alarms expected three hedges at once; it and a new test ask for one.

--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -421,7 +421,13 @@
     }
 
     fn hedge(&mut self, shard: usize, context: &mut Context<'_>, calls: &mut Vec<LeafCall>) {
+        // Leafs that have all answered nothing for so long may be ending under the request.
+        let is_first = self.answered == 0 && self.shards.len() > 1;
         let progress = &mut self.shards[shard];
+        if is_first && self.hedges > 0 {
+            progress.hedge_at = Some(context.now + RECHECK);
+            return;
+        }
         progress.hedge_at = None;
         let is_second = progress.in_flight.len() == 1 || progress.pending_handovers > 0;
         if progress.in_flight.len() > 1 || !is_second || !self.crash_guard.permits_hedge() {
