serving: hold a query that has failed with ended leafs at all instances

Cause: since canaries wait, the first attempt of a harmful query sends none, and other instances were told "suspected" only.

Ruled out: an alarm "suspected" that holds. It is raised after two losses, when the calls in progress may still show that leafs survive.

Change: when a query of a caller has failed, no leaf has survived it and leafs are known to have ended under it, the alarm is raised as confirmed, before the caller has its answer. The others then hold the query for 2 s, until the record decides.

--- a/instance/src/crashes.rs
+++ b/instance/src/crashes.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use camphorhold::coordination::serving::alarms::Caution;
+use camphorhold::coordination::serving::alarms::Level;
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::Standing;
 use camphorhold::coordination::serving::suspects::Admission;
@@ -247,6 +248,12 @@
             }
             return;
         };
+        let is_query = matches!(self.forwarded.route.target, Target::Shards(_));
+        if is_query && finished.have_ended {
+            // The caller may send it to another instance as soon as it has the answer.
+            let fingerprint = self.forwarded.fingerprint();
+            datagram::raise_alarm(&self.shared, fingerprint, Level::Confirmed);
+        }
         tokio::task::spawn_local(async move {
             let lost_leafs = loss.leafs.len();
             match find_ended_leafs(&self.shared, &self.forwarded.route.target, loss).await {
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -72,6 +72,8 @@
     pub call_errors: Vec<String>,
     /// The lost connections, if no leaf has survived the request.
     pub loss: Option<Loss>,
+    /// Whether leafs are known to have ended under the request.
+    pub have_ended: bool,
     /// Whether a leaf has survived the request.
     pub has_survivor: bool,
     /// The number of leafs whose connections were lost under the request, at most
@@ -113,6 +115,8 @@
     // What the lost connections say so far, and the task that tells the other instances.
     alarm_level: Option<Level>,
     alarm: Option<JoinHandle<bool>>,
+    // Whether leafs are known to have ended under the request.
+    have_ended: bool,
 }
 
 /// Hands `groups` over and makes the other calls of a request, until the fan-out reaches a verdict.
@@ -149,13 +153,12 @@
             biased;
             Some(end) = calls.next() => gathering.on_call_end(end),
             Some(end) = handovers.next() => gathering.on_handover_end(end),
-            are_down = finished(&mut gathering.alarm) => gathering.fanout.on_inquiry_end(are_down),
+            are_down = finished(&mut gathering.alarm) => gathering.on_inquiry_end(are_down),
             () = &mut timer => gathering.on_timer(),
         }
     };
-    if let (Verdict::GiveUp { .. }, Some(alarm)) = (verdict, gathering.alarm.take()) {
-        // Whether it was raised in time makes no difference to the answer.
-        let _ = tokio::time::timeout(ALARM_TIMEOUT, alarm).await;
+    if matches!(verdict, Verdict::GiveUp { .. }) {
+        gathering.finish_inquiry().await;
     }
     if !calls.is_empty() && gathering.fanout.coverage().answered > 0 {
         tokio::task::spawn_local(async move {
@@ -205,6 +208,7 @@
             lost: Vec::new(),
             alarm_level: None,
             alarm: None,
+            have_ended: false,
         }
     }
 
@@ -347,6 +351,23 @@
         }
     }
 
+    fn on_inquiry_end(&mut self, have_ended: bool) {
+        self.have_ended |= have_ended;
+        self.fanout.on_inquiry_end(have_ended);
+    }
+
+    /// Waits a moment for the end of the inquiry, before the caller is told that the request has failed.
+    /// Whether it ends in time makes no difference to the answer.
+    async fn finish_inquiry(&mut self) {
+        if self.alarm.is_none() {
+            return;
+        }
+        let inquiry = finished(&mut self.alarm);
+        if let Ok(have_ended) = tokio::time::timeout(ALARM_TIMEOUT, inquiry).await {
+            self.have_ended |= have_ended;
+        }
+    }
+
     fn loss(&self) -> Loss {
         Loss {
             leafs: self.lost.clone(),
@@ -445,6 +466,7 @@
             failure: self.failure.take(),
             call_errors: std::mem::take(&mut self.call_errors),
             loss: (!has_survivor && !self.lost.is_empty()).then(|| self.loss()),
+            have_ended: self.have_ended,
             has_survivor,
             lost_leafs,
             may_have_called: self.fanout.may_have_called(),
--- a/lib/src/coordination/serving/alarms.rs
+++ b/lib/src/coordination/serving/alarms.rs
@@ -3,8 +3,8 @@
 //! Whether a request has ended leafs is known only after a while, and the record of it
 //! ([`super::suspects`]) is read by all instances up to two seconds later. Its caller tries again at
 //! another instance within milliseconds. Until the record decides, an alarm makes the instances
-//! careful: the request is sent to one leaf first, or to none for a moment if a second leaf, to which
-//! it was sent on purpose, was lost as well.
+//! careful: the request is sent to one leaf first, or to none for a moment if another leaf, to which
+//! it was sent on purpose, was lost as well, or if it has ended leafs and failed.
 //!
 //! An alarm is no evidence against a request: it ends by itself, and with the first leaf that
 //! survives the request.
@@ -31,7 +31,8 @@
 pub enum Level {
     /// Connections to leafs were lost, and none has survived the request.
     Suspected,
-    /// So was the connection to a leaf to which it was sent to find out.
+    /// So was the connection to a leaf to which it was sent to find out; or a query over several shards
+    /// has failed with no survivor, and leafs have ended under it.
     Confirmed,
 }
 
