instance: measure how long requests relayed to a silent instance take

Change: a test with three processes freezes the instance that takes relayed requests, until five of them have met it, and checks their median.

No code of the instance changes.

--- a/instance/tests/cut_off.rs
+++ b/instance/tests/cut_off.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use camphorhold::state::time::Clock;
+use camphorhold::state::time::SystemClock;
 use camphorhold_testutils::platform::CONFIGURATION_KEY;
 use camphorhold_testutils::platform::configuration;
 use camphorhold_testutils::platform::leaf::Behaviour;
@@ -27,6 +29,10 @@
 /// The time after which callers of a cut-off instance have to be served again.
 const CONTACT_TIME: Duration = Duration::from_secs(4);
 
+/// How long an instance may take to answer a relayed request before it is asked whether it responds.
+/// Requests that took longer have met a silent one.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(80);
+
 /// The requests of each kind that are sent to the instance, all of which another one could answer.
 const REQUESTS: usize = 10;
 
@@ -247,6 +253,48 @@
     deployment.other.thaw();
 }
 
+/// Guards against requests that wait long for an instance that does not respond, although another one
+/// answers them in the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn most_requests_relayed_to_a_silent_instance_are_answered_within_300_ms() {
+    let mut deployment = Deployment::start().await;
+    let _third = Instance::start(&deployment.platform, "3", "b").await;
+    deployment.exchange_registrations(2).await;
+    deployment.set_links(LinkFault::Down);
+    wait_until("another instance answers", || {
+        deployment.is_answered("relayed", "/all/x")
+    })
+    .await;
+    let mut connection = deployment.cut_off.connect().await;
+    let mut delayed = Vec::new();
+    let mut number = 0;
+    while delayed.len() < 5 {
+        number += 1;
+        assert!(
+            number < 60,
+            "too few requests met the silent instance: {delayed:?}"
+        );
+        deployment.other.freeze();
+        for attempt in 0..2 {
+            let id = format!("r{number}-{attempt}");
+            let started = SystemClock.now();
+            let limit = Duration::from_secs(2);
+            let answer = exchange_within(&mut connection, &id, "/all/x", limit).await;
+            let taken = SystemClock.now().saturating_duration_since(started);
+            assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+            if taken >= SILENCE_CHECK_INTERVAL {
+                delayed.push(taken);
+            }
+        }
+        deployment.other.thaw();
+        // The instance that was silent gets relayed requests again after a pause.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    delayed.sort_unstable();
+    let median = delayed[delayed.len() / 2];
+    assert!(median <= Duration::from_millis(300), "{delayed:?}");
+}
+
 /// Guards against a caller that gets the status with which instances refuse each other, when the other
 /// one has a configuration without the route.
 #[tokio::test(flavor = "multi_thread")]
