--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -226,6 +226,11 @@
         instance
     }
 
+    /// Returns the address for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.process.caller_address()
+    }
+
     /// Returns the address for other instances.
     pub fn peer_address(&self) -> SocketAddr {
         self.process.peer_address()
