bench: measure how many leafs a harmful query ends

Change: `camphorhold-bench blast-radius` starts a platform of stand-ins and instances for each combination, sends a query once that ends each leaf which begins to run it, and then to all instances at the same time. It reports the leafs that have ended and the shards without any, and draws a plot (plotters, SVG only). Leafs of the stand-in may run such a request for a while before they end, as those of the platform do.

--- a/bench/src/error.rs
+++ b/bench/src/error.rs
@@ -29,6 +29,15 @@
     /// A request to a stand-in, or for the metrics of an instance, failed.
     #[error(transparent)]
     Client(#[from] camphorhold_testutils::client::Error),
+    /// A stand-in of the platform cannot listen.
+    #[error(transparent)]
+    StandIn(#[from] camphorhold_testutils::server::Error),
+    /// An instance did not answer a request.
+    #[error("an instance did not answer: {0}")]
+    Instance(#[from] camphorhold::transport::http::Error),
+    /// A plot cannot be drawn.
+    #[error("cannot draw a plot: {0}")]
+    Plot(String),
     /// A request or an answer of a stand-in, or a report, cannot be converted from or to JSON.
     #[error(transparent)]
     Json(#[from] serde_json::Error),
--- a/bench/src/experiment/mod.rs
+++ b/bench/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments.
 
 pub mod apply;
+pub mod blast_radius;
 pub mod cold;
 pub mod domain;
 pub mod drain;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -51,6 +51,8 @@
     Once(Options),
     /// Compares JSON-RPC and postcard for leaf calls between instances.
     PeerPath(Options),
+    /// How many leafs a query ends that ends each leaf which begins to run it.
+    BlastRadius(experiment::blast_radius::Options),
     /// Rollouts of good and bad versions, each on its own service, and a move without a rollout.
     Rollout(experiment::rollout::Options),
 }
@@ -83,6 +85,7 @@
         Experiment::Restart(options) => experiment::restart::run(&options).await,
         Experiment::Once(options) => experiment::once::run(&options).await,
         Experiment::PeerPath(options) => experiment::peer_path::run(&options).await,
+        Experiment::BlastRadius(options) => experiment::blast_radius::run(&options).await,
         Experiment::Rollout(options) => experiment::rollout::run(&options).await,
     }
 }
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -187,6 +187,7 @@
     behaviour: Behaviour,
     limit: Option<f64>,
     poison: Option<String>,
+    time_to_end: Duration,
     leaving: bool,
     arrivals: Vec<Instant>,
     runs: Vec<Run>,
@@ -304,6 +305,11 @@
         self.lock().poison = path.map(str::to_owned);
     }
 
+    /// Sets how long a request that ends it runs before, see [`Self::set_poison`].
+    pub fn set_time_to_end(&self, time: Duration) {
+        self.lock().time_to_end = time;
+    }
+
     /// Ends it, as a crash does: it closes all connections and refuses new ones for
     /// [`RESTART_TIME`].
     pub fn crash(&self) {
@@ -414,6 +420,10 @@
         let id = run.request.clone();
         if leaf.lock().poison.as_ref() == Some(&run.path) {
             leaf.lock().runs.push(run);
+            let time_to_end = leaf.lock().time_to_end;
+            if !time_to_end.is_zero() {
+                tokio::time::sleep(time_to_end).await;
+            }
             leaf.ends.send_modify(|ends| *ends += 1);
             return std::future::pending().await;
         }
