instance: test a harmful query over a single shard

It was not tested.

It passes without a change of the instance: its first loss is followed by the canary, whose loss holds the query everywhere.

--- a/instance/tests/blast_radius.rs
+++ b/instance/tests/blast_radius.rs
@@ -125,17 +125,31 @@
     assert!(ends <= SHARDS + 6, "{ends} leafs ended; {statuses:?}");
 }
 
-/// Guards against the same for a request to one service, of whose leafs each end is one too many.
-#[tokio::test(flavor = "multi_thread")]
-async fn retries_of_a_harmful_request_at_other_instances_end_no_more_leafs() {
+/// Returns how many of nine leafs of a service a request ends that is sent to one instance and then to
+/// all of them.
+async fn ends_of_nine(path: &str) -> usize {
     let leafs: Vec<(&str, &str)> = (0..9).map(|number| ("s1", DOMAINS[number % 3])).collect();
     let platform = Platform::start(&[&leafs[..], &[("other", "a")]].concat()).await;
+    platform.configure(2, &["s1"]);
     let instances = start_instances(&platform).await;
     for leaf in &platform.leafs {
-        leaf.set_poison(Some("/one/bad"));
+        leaf.set_poison(Some(path));
     }
-    send(&instances[0], "/one/bad").await;
-    let statuses = join_all(instances.iter().map(|instance| send(instance, "/one/bad"))).await;
-    let ends = ends(&platform);
-    assert!(ends <= 2, "{ends} leafs ended; {statuses:?}");
+    send(&instances[0], path).await;
+    join_all(instances.iter().map(|instance| send(instance, path))).await;
+    ends(&platform)
+}
+
+/// Guards against the same for a request to one service, of whose leafs each end is one too many.
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_of_a_harmful_request_at_other_instances_end_no_more_leafs() {
+    let ends = ends_of_nine("/one/bad").await;
+    assert!(ends <= 2, "{ends} leafs ended");
+}
+
+/// Guards against the same for a query over one shard, whose other shards cannot show what it does.
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_of_a_harmful_query_over_one_shard_end_no_more_leafs() {
+    let ends = ends_of_nine("/all/bad").await;
+    assert!(ends <= 2, "{ends} leafs ended");
 }
