--- a/instance/tests/soak.rs
+++ b/instance/tests/soak.rs
@@ -12,6 +12,9 @@
 }
 
 fn run_with(seed: u64, seconds: u64, additional: bool) {
+    let logs = format!("camphorhold-soak-{}-{seed}", std::process::id());
+    let logs = std::env::temp_dir().join(logs);
+    std::fs::create_dir_all(&logs).expect("a folder for logs");
     let result = camphorhold_soak::run(&Options {
         program: Path::new(env!("CARGO_BIN_EXE_camphorhold-instance")).into(),
         previous: None,
@@ -19,11 +22,27 @@
         length: Duration::from_secs(seconds),
         instances: 3,
         additional,
-        logs: None,
+        logs: Some(logs.clone()),
     });
     let report = result.expect("the run can be completed");
+    if !report.violations.is_empty() {
+        print_start_errors(&logs);
+    }
     assert!(report.requests > 100, "{report:#?}");
     assert!(report.violations.is_empty(), "{report:#?}");
+    // A folder that is left over is small.
+    let _ = std::fs::remove_dir_all(&logs);
+}
+
+/// Prints why instances did not start: the lines that are no entries of their logs.
+fn print_start_errors(logs: &Path) {
+    eprintln!("logs of the instances: {}", logs.display());
+    for file in std::fs::read_dir(logs).into_iter().flatten().flatten() {
+        let log = std::fs::read_to_string(file.path()).unwrap_or_default();
+        for line in log.lines().filter(|line| !line.starts_with('{')) {
+            eprintln!("{}: {line}", file.path().display());
+        }
+    }
 }
 
 /// Guards against faults that break a promise to callers or leafs.
