serving: try a request to one service on its last leaf

Cause, found by reading: an alarm, also the instance's own, made each request in progress wait for a shard with another leaf, requests to a single service included. One whose leaf has ended and whose canary was refused by the other one would have failed although that leaf could serve it.

What is known of the lost leafs is one enum in the guard.

Measured: the new test failed before (no second call) by the same rule; the guard's 14 tests, fanout's 23, blast_radius (5) and poison (11) pass.

--- a/instance/src/alarm.rs
+++ b/instance/src/alarm.rs
@@ -24,10 +24,10 @@
     pub called: Vec<LeafKey>,
 }
 
-/// Raises an alarm about a request at all instances, and returns true, if the leafs that were lost accept no connections
-/// while another one does: leafs also reset connections because they have too many. Links that fail
-/// one after the other may look the same, so whether leafs have ended is found out later, see
-/// [`crate::crashes::Attempt::end`].
+/// Raises an alarm about a request at all instances if the leafs that were lost accept no connections
+/// while another one does: leafs also reset connections because they have too many. Returns whether
+/// that is so. Links that fail one after the other may look the same, so whether leafs have ended is
+/// found out later, see [`crate::crashes::Attempt::end`].
 pub fn raise(
     shared: &Rc<Shared>,
     forwarded: &Rc<ForwardedRequest>,
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -248,8 +248,8 @@
         self.crash_guard.on_inquiry_end(true);
     }
 
-    /// Returns how long the canary waits for calls in progress after a loss: until the leafs that
-    /// survive the request should have answered.
+    /// Returns until when the canary waits for calls in progress after a loss: leafs that survive the
+    /// request should have answered by then.
     fn canary_from(&self, now: Instant) -> Instant {
         now + self.hedge_delay.unwrap_or_default()
     }
--- a/lib/src/coordination/serving/fanout/crash_guard.rs
+++ b/lib/src/coordination/serving/fanout/crash_guard.rs
@@ -27,6 +27,17 @@
     Survived,
 }
 
+/// What is known of the leafs whose connections were lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Evidence {
+    /// Nothing.
+    None,
+    /// It is being found out whether they have ended.
+    Awaited,
+    /// Leafs have ended.
+    Ended,
+}
+
 /// What is known about the effect of one request on leafs.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CrashGuard {
@@ -34,10 +45,10 @@
     permits_canary: bool,
     // From when on the canary does not wait for calls in progress.
     canary_from: Option<Instant>,
-    // Whether it is being found out if leafs have ended.
-    awaits_inquiry: bool,
-    // Whether the canary needs a shard that has another leaf left.
-    requires_spare: bool,
+    // Whether the request goes to several shards. Its canary needs one that has another leaf left if
+    // leafs have ended.
+    is_query: bool,
+    evidence: Evidence,
 }
 
 impl CrashGuard {
@@ -53,8 +64,12 @@
             state,
             permits_canary,
             canary_from: None,
-            awaits_inquiry: false,
-            requires_spare: is_suspect && is_query,
+            is_query,
+            evidence: if is_suspect {
+                Evidence::Ended
+            } else {
+                Evidence::None
+            },
         }
     }
 
@@ -63,7 +78,7 @@
         match self.state {
             State::Clear | State::Survived => true,
             State::Suspect => {
-                !self.awaits_inquiry
+                self.evidence != Evidence::Awaited
                     && (!has_calls || self.canary_from.is_none_or(|from| now >= from))
             }
             State::Canary(_) | State::Harmful | State::Stopped => false,
@@ -72,23 +87,28 @@
 
     /// Returns whether the next call needs a shard that has another leaf left.
     pub(super) fn requires_spare(self) -> bool {
-        self.requires_spare && self.state == State::Suspect
+        self.is_query && self.evidence == Evidence::Ended && self.state == State::Suspect
     }
 
     /// Returns whether the canary waits until it is known if leafs have ended.
     pub(super) fn awaits_inquiry(self) -> bool {
-        self.awaits_inquiry && self.state == State::Suspect
+        self.evidence == Evidence::Awaited && self.state == State::Suspect
     }
 
     /// Records that it is being found out if leafs have ended.
     pub(super) fn on_inquiry_start(&mut self) {
-        self.awaits_inquiry = true;
+        if self.evidence == Evidence::None {
+            self.evidence = Evidence::Awaited;
+        }
     }
 
     /// Records if leafs have ended.
     pub(super) fn on_inquiry_end(&mut self, have_ended: bool) {
-        self.awaits_inquiry = false;
-        self.requires_spare |= have_ended;
+        if have_ended {
+            self.evidence = Evidence::Ended;
+        } else if self.evidence == Evidence::Awaited {
+            self.evidence = Evidence::None;
+        }
     }
 
     /// Returns whether a call may be sent although another one of its shard is in progress.
--- a/lib/tests/serving_crash_guard.rs
+++ b/lib/tests/serving_crash_guard.rs
@@ -77,9 +77,18 @@
         &mut self,
         is_suspect: bool,
         permits_canary: bool,
+    ) -> (Fanout, Vec<LeafCall>) {
+        self.start_shards(&SHARDS, is_suspect, permits_canary)
+    }
+
+    fn start_shards(
+        &mut self,
+        shards: &[&str],
+        is_suspect: bool,
+        permits_canary: bool,
     ) -> (Fanout, Vec<LeafCall>) {
         let request = Request {
-            shards: SHARDS
+            shards: shards
                 .iter()
                 .map(|service| Shard {
                     service: (*service).into(),
@@ -213,6 +222,22 @@
     ));
 }
 
+/// Guards against a request to one service that fails because one of its two leafs has ended: it has no
+/// shard to do without.
+#[test]
+fn a_request_to_one_service_is_tried_on_its_last_leaf() {
+    let mut world = World::new();
+    let (mut fanout, calls) = world.start_shards(&SHARDS[..1], false, true);
+    fanout.on_alarm(world.start);
+    world.disconnect(calls[0], 5);
+    let canary = world.end(&mut fanout, calls[0], Outcome::Lost, 5);
+    assert_eq!(canary.len(), 1);
+    assert_eq!(
+        world.end(&mut fanout, canary[0], Outcome::NotRun, 10).len(),
+        1
+    );
+}
+
 /// Guards against second copies of a query for all of its shards while it may be ending their leafs.
 #[test]
 fn one_shard_is_hedged_until_a_leaf_has_answered() {
