serving: give suspicion a file of its own, and inquiries their name

Read as a newcomer: the fan-out had grown by what it does while leafs may be ending, which is moved to `fanout/suspicion.rs` with the two functions of `result.rs` that belong to it; the task that asks lost leafs is called an inquiry in the instance as in the library; the order of shards of a suspect query is a plain rotation.

No change of behaviour.

--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -43,9 +43,9 @@
 /// The same share for an instance in another failure domain, which waits for its owners first.
 const FOREIGN_LATE_SHARE: f64 = 0.55;
 
-/// How long the answer to a request that has probably ended leafs waits until the other instances
-/// have been told. Its caller tries again at once.
-const ALARM_TIMEOUT: Duration = Duration::from_millis(20);
+/// How long the answer to a request that has probably ended leafs waits until these have been asked and
+/// the other instances have been told. Its caller tries again at once.
+const INQUIRY_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// The most call errors in the log line of a request. A query may have hundreds.
 const MAX_LOGGED_ERRORS: usize = 6;
@@ -112,9 +112,10 @@
     failure: Option<Response<Bytes>>,
     call_errors: Vec<String>,
     lost: Vec<LeafKey>,
-    // What the lost connections say so far, and the task that tells the other instances.
+    // What the lost connections say so far, and the task that asks the lost leafs and tells the other
+    // instances.
     alarm_level: Option<Level>,
-    alarm: Option<JoinHandle<bool>>,
+    inquiry: Option<JoinHandle<bool>>,
     // Whether leafs are known to have ended under the request.
     have_ended: bool,
 }
@@ -153,7 +154,7 @@
             biased;
             Some(end) = calls.next() => gathering.on_call_end(end),
             Some(end) = handovers.next() => gathering.on_handover_end(end),
-            are_down = finished(&mut gathering.alarm) => gathering.on_inquiry_end(are_down),
+            have_ended = end_of(&mut gathering.inquiry) => gathering.on_inquiry_end(have_ended),
             () = &mut timer => gathering.on_timer(),
         }
     };
@@ -207,7 +208,7 @@
             call_errors: Vec::new(),
             lost: Vec::new(),
             alarm_level: None,
-            alarm: None,
+            inquiry: None,
             have_ended: false,
         }
     }
@@ -345,7 +346,7 @@
         }
         self.alarm_level = Some(level);
         let alarm = alarm::raise(self.shared, self.forwarded, level, self.loss());
-        self.alarm = Some(tokio::task::spawn_local(alarm));
+        self.inquiry = Some(tokio::task::spawn_local(alarm));
         if is_query {
             self.fanout.on_inquiry_start();
         }
@@ -359,11 +360,11 @@
     /// Waits a moment for the end of the inquiry, before the caller is told that the request has failed.
     /// Whether it ends in time makes no difference to the answer.
     async fn finish_inquiry(&mut self) {
-        if self.alarm.is_none() {
+        if self.inquiry.is_none() {
             return;
         }
-        let inquiry = finished(&mut self.alarm);
-        if let Ok(have_ended) = tokio::time::timeout(ALARM_TIMEOUT, inquiry).await {
+        let end = end_of(&mut self.inquiry);
+        if let Ok(have_ended) = tokio::time::timeout(INQUIRY_TIMEOUT, end).await {
             self.have_ended |= have_ended;
         }
     }
@@ -481,15 +482,14 @@
     }
 }
 
-/// Waits until the task that raises an alarm ends, and returns whether leafs have ended. Never returns
-/// without a task.
-async fn finished(alarm: &mut Option<JoinHandle<bool>>) -> bool {
-    let Some(task) = alarm else {
+/// Waits for the end of an inquiry, and returns whether leafs have ended. Never returns without one.
+async fn end_of(inquiry: &mut Option<JoinHandle<bool>>) -> bool {
+    let Some(task) = inquiry else {
         return std::future::pending().await;
     };
-    let are_down = task.await.unwrap_or(false);
-    *alarm = None;
-    are_down
+    let have_ended = task.await.unwrap_or(false);
+    *inquiry = None;
+    have_ended
 }
 
 /// Returns the shards with the names of their services.
--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -8,6 +8,7 @@
 mod message;
 mod progress;
 mod result;
+mod suspicion;
 
 use std::time::Duration;
 use std::time::Instant;
@@ -82,7 +83,7 @@
                 .filter(|index| is_wanted(request.shards[*index].assignment))
                 .collect()
         };
-        let local = with_assignment(|assignment| assignment == ShardAssignment::Local);
+        let mut local = with_assignment(|assignment| assignment == ShardAssignment::Local);
         let open = with_assignment(|assignment| assignment != ShardAssignment::Skipped).len();
         let open = u32::try_from(open).unwrap_or(u32::MAX);
         let is_query = request.shards.len() > 1;
@@ -114,11 +115,13 @@
             let service = &fanout.shards[*index].service;
             context.retry_budgets.on_request(service, context.now);
         }
-        // No shard gets the first call of all suspect queries.
-        let first = first_position(local.len(), context.jitter);
-        let (rest, start) = local.split_at(if request.is_suspect { first } else { 0 });
-        for index in start.iter().chain(rest) {
-            fanout.call_or_wait(*index, context, &mut calls);
+        if request.is_suspect {
+            // No shard gets the first call of all suspect queries.
+            let first = first_position(local.len(), context.jitter);
+            local.rotate_left(first);
+        }
+        for index in local {
+            fanout.call_or_wait(index, context, &mut calls);
         }
         (fanout, calls)
     }
@@ -221,75 +224,6 @@
         self.call_or_wait(shard, context, calls);
     }
 
-    /// Records that a leaf has survived the request, and sends the calls that have waited for it.
-    fn on_survived(&mut self, context: &mut Context<'_>, calls: &mut Vec<LeafCall>) {
-        let resumes = self.crash_guard.suspicion().is_some();
-        self.crash_guard.on_survived();
-        if !resumes {
-            return;
-        }
-        for index in 0..self.shards.len() {
-            let progress = &mut self.shards[index];
-            if progress.state == State::Open && progress.recheck_at.take().is_some() {
-                self.call_or_wait(index, context, calls);
-            }
-        }
-    }
-
-    /// Records that the instance with a handover has lost connections to leafs under the request.
-    pub fn on_lost_elsewhere(&mut self, now: Instant) {
-        let canary_from = self.canary_from(now);
-        self.crash_guard.on_lost_elsewhere(canary_from);
-    }
-
-    /// Records that another instance suspects that leafs have ended under the request.
-    pub fn on_alarm(&mut self, now: Instant) {
-        self.on_lost_elsewhere(now);
-        self.crash_guard.on_inquiry_end(true);
-    }
-
-    /// Returns until when the canary waits for calls in progress after a loss: leafs that survive the
-    /// request should have answered by then.
-    fn canary_from(&self, now: Instant) -> Instant {
-        now + self.hedge_delay.unwrap_or_default()
-    }
-
-    /// Records that it is being found out whether the leafs have ended whose connections were lost. The
-    /// canary waits for that.
-    pub fn on_inquiry_start(&mut self) {
-        self.crash_guard.on_inquiry_start();
-    }
-
-    /// Records whether leafs have ended whose connections were lost. If so, the canary goes to no shard
-    /// that would have no leaf left after its loss.
-    pub fn on_inquiry_end(&mut self, have_ended: bool) {
-        self.crash_guard.on_inquiry_end(have_ended);
-    }
-
-    /// Returns whether something may show that leafs survive the request: a call in progress, what is
-    /// being found out about the leafs that were lost, or a canary to another shard.
-    fn may_be_permitted_later(&self, context: &Context<'_>) -> bool {
-        self.has_calls()
-            || self.crash_guard.awaits_inquiry()
-            || (self.crash_guard.requires_spare() && self.can_spare_leafs(context))
-    }
-
-    /// Returns whether a shard may get the next call as far as leafs that may end under it are
-    /// concerned.
-    fn permits_call(&self, shard: usize, context: &Context<'_>) -> bool {
-        let service = &self.shards[shard].service;
-        let spares = || context.fleet.can_spare_leaf(service) && self.can_spare_leafs(context);
-        self.crash_guard.permits_call(self.has_calls(), context.now)
-            && (!self.crash_guard.requires_spare() || spares())
-    }
-
-    /// Returns whether enough shards for an answer could do without a leaf. Otherwise the leafs that
-    /// are left already do the work of others, and the canary would end one more of them.
-    fn can_spare_leafs(&self, context: &Context<'_>) -> bool {
-        let services = self.shards.iter().map(|progress| &*progress.service);
-        context.fleet.can_spare_leafs(services, self.min_coverage)
-    }
-
     /// Returns whether an open shard may be handed over once more, to another instance, and records
     /// it as handed over if so. The leafs may get the request twice then, so it takes a hedge from
     /// the budget.
@@ -422,9 +356,9 @@
 
     fn hedge(&mut self, shard: usize, context: &mut Context<'_>, calls: &mut Vec<LeafCall>) {
         // Leafs that have all answered nothing for so long may be ending under the request.
-        let is_first = self.answered == 0 && self.shards.len() > 1;
+        let is_unanswered = self.answered == 0 && self.shards.len() > 1;
         let progress = &mut self.shards[shard];
-        if is_first && self.hedges > 0 {
+        if is_unanswered && self.hedges > 0 {
             progress.hedge_at = Some(context.now + RECHECK);
             return;
         }
--- a/lib/src/coordination/serving/fanout/result.rs
+++ b/lib/src/coordination/serving/fanout/result.rs
@@ -8,7 +8,6 @@
 use super::message::Verdict;
 use super::progress::State;
 use crate::coordination::merge::Coverage;
-use crate::coordination::serving::alarms::Level;
 use crate::coordination::serving::fleet::LeafKey;
 
 impl Fanout {
@@ -87,17 +86,4 @@
         let mut shards = self.shards.iter();
         shards.any(|progress| progress.sent_calls > 0 || progress.pending_handovers > 0)
     }
-
-    /// Returns what lost connections say about the request; `None` if there are none, or if a leaf has
-    /// survived it.
-    #[must_use]
-    pub fn suspicion(&self) -> Option<Level> {
-        self.crash_guard.suspicion()
-    }
-
-    /// Returns whether a leaf has survived the request.
-    #[must_use]
-    pub fn has_survivor(&self) -> bool {
-        self.crash_guard.has_survivor()
-    }
 }
