--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -73,6 +73,9 @@
     pub uri: Uri,
     /// The caller's headers, without hop-by-hop headers, `Content-Length` and the handover header.
     pub headers: HeaderMap,
+    /// The customer that the caller's key belongs to; `None` if the route needs no key.
+    #[expect(dead_code, reason = "read once usage is counted")]
+    pub customer: Option<std::sync::Arc<str>>,
     /// The whole body. Its length is within the limit of the configuration.
     pub body: Bytes,
     /// When the caller stops waiting, at most the route's timeout after the request arrived.
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -208,6 +208,7 @@
         method: head.method,
         uri: origin_form(&head.uri),
         headers: end_to_end(head.headers),
+        customer: None,
         body,
         sent: Cell::new(false),
         deadline,
