customers: check keys and tell leafs the customer

Cause: any caller could use every route, and leafs did not know whose request they ran.

A request on a route that is not public gets 401 without the key of one customer. The key and any customer header of the caller are removed in one place; leafs, handovers and relays get the customer's name. Handovers and relays with a key, without a customer where one is needed, or with one where none is, are refused with 409. `ForwardedRequest` has the customer and the effective priority.

`owners.rs` and the leaf of the stand-in only have new fields.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -71,11 +71,15 @@
     pub method: Method,
     /// The URI in origin form: path and query only.
     pub uri: Uri,
-    /// The caller's headers, without hop-by-hop headers, `Content-Length` and the handover header.
+    /// The caller's headers, without hop-by-hop headers, `Content-Length`, the handover header and
+    /// the key, and with the name of the customer.
     pub headers: HeaderMap,
     /// The customer that the caller's key belongs to; `None` if the route needs no key.
     #[expect(dead_code, reason = "read once usage is counted")]
     pub customer: Option<std::sync::Arc<str>>,
+    /// The priority of the customer, or of the route if the customer has none.
+    #[expect(dead_code, reason = "read once requests are admitted by priority")]
+    pub priority: u32,
     /// The whole body. Its length is within the limit of the configuration.
     pub body: Bytes,
     /// When the caller stops waiting, at most the route's timeout after the request arrived.
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -5,6 +5,7 @@
 mod call;
 mod crash_records;
 mod crashes;
+mod customer;
 mod datagram;
 mod exposition;
 mod follower;
--- a/instance/src/mirror.rs
+++ b/instance/src/mirror.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use camphorhold::state::customer::Customers;
 use camphorhold_platform::key::Key;
 use camphorhold_platform::leaf;
 use camphorhold_platform::plan;
@@ -282,9 +283,18 @@
             version = plan.version(),
             before = before,
             routes = plan.route_count(),
+            customers:? = plan.customers().map(Customers::len),
+            keys:? = plan.customers().map(Customers::key_count),
             revision = revision;
             "configuration in force"
         );
+        for problem in plan
+            .customers()
+            .map(Customers::problems)
+            .unwrap_or_default()
+        {
+            log::error!(version = plan.version(), error:% = problem; "keys of the configuration are not accepted");
+        }
         #[expect(clippy::cast_precision_loss, reason = "versions are far below 2^53")]
         metrics::gauge!("camphorhold_config_version").set(plan.version() as f64);
         self.shared.prune(&plan);
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -44,6 +44,7 @@
 use crate::call::ForwardedRequest;
 use crate::call::request_id;
 use crate::crashes;
+use crate::customer;
 use crate::gather;
 use crate::handover;
 use crate::handover::HandoverRequest;
@@ -142,8 +143,8 @@
     }
 }
 
-/// Answers a request. Errors are responses too: 404 if no route matches, 409 for a handover that
-/// this instance refuses, 413 for a body above the limit, 400 for a body that cannot be read, 503
+/// Answers a request. Errors are responses too: 404 if no route matches, 401 without the key of a
+/// customer on a route that needs one, 409 for a handover that this instance refuses, 413 for a body above the limit, 400 for a body that cannot be read, 503
 /// if no leaf has run the request, and otherwise 502, 504 or the error of the leaf.
 pub async fn handle(
     shared: Rc<Shared>,
@@ -156,20 +157,10 @@
     }
     let plan = shared.wait_for_plan().await;
     let Some(plan) = plan else {
-        log::info!(request = request_id(request.headers()); "request refused: no configuration yet");
-        return if origin.source == Source::Caller {
-            refuse(Duration::from_millis(100))
-        } else {
-            // Says that no leaf was called, so that the sender asks another instance or a leaf.
-            relay::refusal()
-        };
+        return refuse_without_plan(request.headers(), origin.source);
     };
     let Some(route) = find_route(&plan, &request) else {
-        if origin.source != Source::Caller {
-            return relay::refusal();
-        }
-        log::info!(request = request_id(request.headers()), path = request.uri().path(), config_version = plan.version(); "request answered with 404: no route matches its host and path");
-        return empty_response(StatusCode::NOT_FOUND);
+        return refuse_without_route(&plan, &request, origin.source);
     };
     if origin.source == Source::Caller && ends_within(&shared, route.objective) {
         log::info!(request = request_id(request.headers()); "request refused: the process is about to end");
@@ -190,6 +181,11 @@
             None => return empty_response(StatusCode::CONFLICT),
         },
     };
+    let identity = customer::identify(&shared, &plan, &route, request.headers(), origin.source);
+    let identity = match identity {
+        Ok(identity) => identity,
+        Err(refusal) => return refusal.respond(),
+    };
     let (head, body) = request.into_parts();
     let role = handover::role(&head.headers);
     let wait = caller_wait(&head.headers).unwrap_or(route.timeout);
@@ -204,11 +200,14 @@
             return closing_response(StatusCode::REQUEST_TIMEOUT);
         }
     };
+    let mut headers = end_to_end(head.headers);
+    customer::replace_headers(&mut headers, identity.customer.as_deref());
     let forwarded = Rc::new(ForwardedRequest {
         method: head.method,
         uri: origin_form(&head.uri),
-        headers: end_to_end(head.headers),
-        customer: None,
+        headers,
+        customer: identity.customer,
+        priority: identity.priority,
         body,
         sent: Cell::new(false),
         deadline,
@@ -251,6 +250,28 @@
     end.respond_to_instance(&shared, &plan, &forwarded, origin, &handover_request)
 }
 
+fn refuse_without_plan(headers: &HeaderMap, source: Source) -> Response<Full<Bytes>> {
+    log::info!(request = request_id(headers); "request refused: no configuration yet");
+    if source == Source::Caller {
+        refuse(Duration::from_millis(100))
+    } else {
+        // Says that no leaf was called, so that the sender asks another instance or a leaf.
+        relay::refusal()
+    }
+}
+
+fn refuse_without_route(
+    plan: &Plan,
+    request: &Request<Incoming>,
+    source: Source,
+) -> Response<Full<Bytes>> {
+    if source != Source::Caller {
+        return relay::refusal();
+    }
+    log::info!(request = request_id(request.headers()), path = request.uri().path(), config_version = plan.version(); "request answered with 404: no route matches its host and path");
+    empty_response(StatusCode::NOT_FOUND)
+}
+
 /// Answers a request of a caller, which may have been relayed by another instance.
 async fn serve_caller(
     shared: &Rc<Shared>,
--- a/instance/tests/owners.rs
+++ b/instance/tests/owners.rs
@@ -149,6 +149,7 @@
         objective: Duration::from_secs(1),
         priority: 1,
         max_leafs: 2,
+        is_public: false,
         target: Target::Shards(Scope {
             shards: shards.iter().map(|shard| (*shard).into()).collect(),
             min_coverage: 0.5,
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -250,6 +250,28 @@
         exchange(&mut connection, request, path).await
     }
 
+    /// Sends a request with these headers as a caller, on a new connection, and returns its answer.
+    /// A header may be there several times.
+    pub async fn send_with(
+        &self,
+        id: &str,
+        path: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Result<Response<Bytes>, Error> {
+        let mut connection = Connection::open(self.process.caller_address(), TCP_OPTIONS).await?;
+        let mut request = request(id, path);
+        for (name, value) in headers {
+            let value = HeaderValue::from_str(value).unwrap();
+            request.headers_mut().append(*name, value);
+        }
+        connection.exchange(request, 1 << 20).await
+    }
+
+    /// Returns what the process has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
     /// Sends a request with these headers as another instance and returns its answer.
     pub async fn send_as_instance(
         &self,
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod assignment;
 pub mod compression;
+pub mod customer;
 pub mod event;
 pub mod file;
 pub mod hlc;
--- a/lib/src/state/plan.rs
+++ b/lib/src/state/plan.rs
@@ -1,5 +1,5 @@
-//! The operators' configuration in the form that instances use: routes, services and limits on what
-//! callers send.
+//! The operators' configuration in the form that instances use: routes, services, customers and
+//! limits on what callers send.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -7,6 +7,8 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use super::customer::Customers;
+
 /// How often a request may run at the leafs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallSemantics {
@@ -80,6 +82,8 @@
     pub priority: u32,
     /// How many leafs of one service may receive the same request, including the first.
     pub max_leafs: usize,
+    /// Whether its requests need no key, and belong to no customer.
+    pub is_public: bool,
     /// Where its requests go.
     pub target: Target,
 }
@@ -137,6 +141,7 @@
     // The routes of a host, the longest prefix first.
     routes: HashMap<Box<str>, Vec<Arc<Route>>>,
     services: HashMap<Box<str>, Service>,
+    customers: Option<Customers>,
 }
 
 impl Plan {
@@ -161,9 +166,29 @@
                 .into_iter()
                 .map(|service| (service.name.clone(), service))
                 .collect(),
+            customers: None,
         }
     }
 
+    /// Sets the customers, without whose keys only public routes can be used.
+    #[must_use]
+    pub fn with_customers(mut self, customers: Customers) -> Self {
+        self.customers = Some(customers);
+        self
+    }
+
+    /// Returns the customers; `None` if no keys are checked.
+    #[must_use]
+    pub fn customers(&self) -> Option<&Customers> {
+        self.customers.as_ref()
+    }
+
+    /// Returns the customers if requests on `route` need the key of one of them.
+    #[must_use]
+    pub fn customers_of(&self, route: &Route) -> Option<&Customers> {
+        self.customers.as_ref().filter(|_| !route.is_public)
+    }
+
     /// Returns the version, which grows with every change.
     #[must_use]
     pub fn version(&self) -> u64 {
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -176,6 +176,10 @@
     /// The value of `X-Camphorhold-Expect-Instance`: the id of the leaf that the sender expects at
     /// this address.
     pub expected_leaf: String,
+    /// The values of all headers `X-Camphorhold-Tenant`.
+    pub customers: Vec<String>,
+    /// Whether it carries a header `X-Camphorhold-Key`.
+    pub has_key: bool,
     /// The length of its body, as `Content-Length` states it.
     pub body_bytes: usize,
     /// When its body had been received.
@@ -513,13 +517,20 @@
             Err(error) => return Err(error),
         }
     }
-    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let text = String::from_utf8_lossy(&head);
+    let head = text.to_ascii_lowercase();
     let target = head.split(' ').nth(1).unwrap_or_default();
     let path = target.split('?').next().unwrap_or_default().to_owned();
     let value = |name: &str| {
         let line = head.lines().find_map(|line| line.strip_prefix(name));
         line.map_or("", |value| value.trim_start_matches(':').trim())
     };
+    let customers = text.lines().filter_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        let is_customer = name.eq_ignore_ascii_case("x-camphorhold-tenant");
+        is_customer.then(|| value.trim().to_owned())
+    });
+    let customers = customers.collect();
     let length: usize = value("content-length").parse().unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
@@ -528,6 +539,8 @@
         request: value("x-camphorhold-request-id").into(),
         deadline_ms: value("x-camphorhold-deadline-ms").parse().unwrap_or(0),
         expected_leaf: value("x-camphorhold-expect-instance").into(),
+        customers,
+        has_key: head.contains("\nx-camphorhold-key:"),
         body_bytes: length,
         at: Instant::now(),
     }))
