feed: learn changes of the store from an instance of the domain

Cause: each instance watched the store, one call per batch of changes and instance.

Change: with more than 16 instances, one of each failure domain watches the store, and the others ask it for changes. What they miss shows by the confirmations that exist, as with a lost watch, and they watch the store then. A configuration with keys of customers is not passed on.

--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -3,20 +3,25 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use camphorhold::coordination::serving::instances::Readers;
+use camphorhold::coordination::serving::instances::Upstreams;
 use camphorhold::coordination::serving::watch;
 use camphorhold::coordination::serving::watch::Read;
 use camphorhold::coordination::serving::watch::Sighting;
+use camphorhold_platform::key;
 use camphorhold_platform::store::Changes;
 use camphorhold_platform::store::Era;
+use camphorhold_platform::store::Event;
 use camphorhold_platform::store::Store;
 use camphorhold_platform::store::StoreError;
 
 use crate::datagram;
+use crate::feed;
 use crate::mirror::Mirror;
 use crate::release;
 use crate::shared::Shared;
@@ -28,6 +33,10 @@
 /// is then read with few calls; the store bills each of them.
 const BATCH_SHARE: f64 = 0.3;
 
+/// The same pause at an instance that others learn from, as a share of the settling time. Has to be
+/// shorter than the time after which an instance that misses changes reads them from the store.
+const UPSTREAM_BATCH_SHARE: f64 = 0.08;
+
 /// The pause after the first failed call. Doubles with each further failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause after a failed call.
@@ -42,18 +51,36 @@
 struct Group {
     generation: Option<u64>,
     readers: Readers,
+    upstreams: Upstreams,
 }
 
 impl Group {
-    fn get(&mut self, shared: &Shared) -> &Readers {
+    fn update(&mut self, shared: &Shared) {
         let instances = shared.instances.borrow();
         let generation = instances.generation();
         if self.generation != Some(generation) {
             self.generation = Some(generation);
             self.readers = instances.readers(release::DATAGRAMS);
+            self.upstreams = instances.upstreams(release::FEED);
         }
+    }
+
+    fn readers(&mut self, shared: &Shared) -> &Readers {
+        self.update(shared);
         &self.readers
     }
+
+    fn upstreams(&mut self, shared: &Shared) -> &Upstreams {
+        self.update(shared);
+        &self.upstreams
+    }
+}
+
+/// From where changes were read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Store,
+    Upstream,
 }
 
 /// Reads the store, watches it for changes and applies them to the shared state.
@@ -62,7 +89,7 @@
     store: Store,
     // A second client for probes: the connection of the first is busy during a watch.
     probes: Store,
-    readers: Group,
+    group: Group,
     // Outlives the follower: the fleet holds what was applied to it.
     mirror: Rc<RefCell<Mirror>>,
     failing_since: Option<Instant>,
@@ -78,7 +105,7 @@
             mirror,
             store,
             probes,
-            readers: Group::default(),
+            group: Group::default(),
             failing_since: None,
         }
     }
@@ -189,42 +216,111 @@
         self.mirror
             .borrow_mut()
             .apply_listing(&listing, self.store.era());
+        self.shared.feed.on_listed(listing.revision);
         Ok(listing.revision)
     }
 
-    /// Waits for changes after `revision`. Meanwhile probes the store, and fails if a probe fails or
-    /// the changes up to a revision that the store has been seen at do not arrive.
-    async fn watch(&mut self, revision: u64) -> Result<Changes, StoreError> {
+    /// Waits for changes after `revision`, at an upstream or, if there is none that answers, at the
+    /// store.
+    async fn watch(&mut self, revision: u64) -> Result<(Source, Changes), StoreError> {
+        let upstreams = &self.group.upstreams(&self.shared).addresses;
+        let now = self.shared.now();
+        let upstream = self.shared.feed.failures.borrow().choose(upstreams, now);
+        if let Some(upstream) = upstream
+            && let Some(changes) = self.learn(upstream, revision).await?
+        {
+            return Ok((Source::Upstream, changes));
+        }
+        Ok((Source::Store, self.watch_store(revision).await?))
+    }
+
+    /// Waits for changes after `revision` at the store. Meanwhile probes the store, and fails if a probe
+    /// fails or the changes up to a revision that the store has been seen at do not arrive.
+    async fn watch_store(&mut self, revision: u64) -> Result<Changes, StoreError> {
         let shared = &self.shared;
-        let settling_time = shared.bounds.get().settling_time;
-        let now = shared.now();
-        shared.watch.borrow_mut().on_watch_sent(settling_time, now);
-        tokio::select! {
+        on_watch_sent(shared);
+        let changes = tokio::select! {
+            biased;
+            changes = self.store.watch(revision, WATCH_TIMEOUT) => changes?,
+            never = run_timers(&self.mirror) => match never {},
+            missed = wait_until_lost(shared) => return Err(StoreError::MissedChanges(missed)),
+            error = probe(shared, &mut self.probes, &mut self.group) => return Err(error),
+        };
+        self.on_success();
+        Ok(changes)
+    }
+
+    /// Waits for changes after `revision` at another instance, as [`Self::watch_store`] does. Returns
+    /// `None` if that instance cannot tell them, or misses some.
+    async fn learn(
+        &mut self,
+        upstream: SocketAddr,
+        revision: u64,
+    ) -> Result<Option<Changes>, StoreError> {
+        let shared = &self.shared;
+        on_watch_sent(shared);
+        let learned = tokio::select! {
             biased;
-            changes = self.store.watch(revision, WATCH_TIMEOUT) => changes,
+            learned = feed::learn(shared, upstream, revision) => learned.map_err(Some),
             never = run_timers(&self.mirror) => match never {},
-            missed = wait_until_lost(shared) => Err(StoreError::MissedChanges(missed)),
-            error = probe(shared, &mut self.probes, &mut self.readers) => Err(error),
+            _ = wait_until_lost(shared) => Err(None),
+            error = probe(shared, &mut self.probes, &mut self.group) => return Err(error),
+        };
+        let mut learned = match learned {
+            Ok(learned) => learned,
+            Err(error) => {
+                let mut failures = shared.feed.failures.borrow_mut();
+                failures.on_failure(upstream, shared.now());
+                let error = error.map_or("it misses changes".to_owned(), |error| error.to_string());
+                metrics::counter!("camphorhold_feed_total", "outcome" => "failed").increment(1);
+                log::info!(upstream:% = upstream, after = revision, error = error; "changes cannot be learned from the instance; watching the store");
+                return Ok(None);
+            }
+        };
+        shared.feed.failures.borrow_mut().on_success(upstream);
+        metrics::counter!("camphorhold_feed_total", "outcome" => "learned").increment(1);
+        if learned.withholds_configuration {
+            let listing = self.store.list(key::CONFIGURATION).await?;
+            self.on_success();
+            let items = listing.items.into_iter().map(Event::Written);
+            learned.changes.events.extend(items);
         }
+        Ok(Some(learned.changes))
     }
 
     async fn read_changes(&mut self, revision: u64) -> Result<u64, StoreError> {
-        let changes = self.watch(revision).await?;
-        self.on_success();
+        let (source, changes) = self.watch(revision).await?;
         self.shared
             .watch
             .borrow_mut()
             .on_changes_read(changes.revision);
         record_revision("applied", changes.revision);
         let has_events = !changes.events.is_empty();
-        log::info!(after = revision, events = changes.events.len(), revision = changes.revision, era:? = self.store.era(); "changes read from the store");
+        log::info!(after = revision, events = changes.events.len(), revision = changes.revision, source:? = source, era:? = self.store.era(); "changes read from the store");
         self.mirror.borrow_mut().apply_changes(&changes);
-        if has_events && !changes.is_full {
-            let change_time = self.shared.bounds.get().change_time;
-            tokio::time::sleep(change_time.mul_f64(BATCH_SHARE)).await;
+        self.shared.feed.on_changes(&changes);
+        if has_events && !changes.is_full && source == Source::Store {
+            self.pause_after_changes().await;
         }
         Ok(changes.revision)
     }
+
+    /// Pauses so that a burst of changes is read with few calls. At an instance that others learn from,
+    /// the pause is short, and ends when changes have been seen that the others would miss.
+    async fn pause_after_changes(&mut self) {
+        let bounds = self.shared.bounds.get();
+        if !self.group.upstreams(&self.shared).is_upstream {
+            tokio::time::sleep(bounds.change_time.mul_f64(BATCH_SHARE)).await;
+            return;
+        }
+        tokio::time::sleep(bounds.settling_time.mul_f64(UPSTREAM_BATCH_SHARE)).await;
+    }
+}
+
+fn on_watch_sent(shared: &Shared) {
+    let settling_time = shared.bounds.get().settling_time;
+    let now = shared.now();
+    shared.watch.borrow_mut().on_watch_sent(settling_time, now);
 }
 
 /// Sets the gauge of the revision that was applied, or that the last probe has shown.
@@ -269,7 +365,7 @@
     let mut cheap_at = shared.now();
     loop {
         let changed = shared.watch_changed.notified();
-        let readers = group.get(shared);
+        let readers = group.readers(shared);
         let settling_time = shared.bounds.get().settling_time;
         let current_at = shared
             .watch
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -8,6 +8,7 @@
 mod customer;
 mod datagram;
 mod exposition;
+mod feed;
 mod follower;
 mod gather;
 mod handover;
--- a/instance/src/mirror.rs
+++ b/instance/src/mirror.rs
@@ -80,6 +80,7 @@
     pub fn on_restored(&mut self, era: Era) {
         self.shared.store_era.set(Some(era));
         self.shared.watch.borrow_mut().on_restored();
+        self.shared.feed.on_restored();
         self.shared.watch_changed.notify_waiters();
         metrics::counter!("camphorhold_store_restores_total").increment(1);
         let config_version = self.shared.plan_version();
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -236,6 +236,7 @@
 /// the grace period is about to end.
 async fn stop(shared: &Shared, connections: &Connections, accept_tasks: &[JoinHandle<()>]) {
     shared.phase.set(Phase::Stopping);
+    shared.feed.stop();
     let shutdown = Shutdown::new(shared.now(), shared.bounds.get().grace);
     shared.answers_due_at.set(Some(shutdown.answers_due_at()));
     log::info!(in_progress = shared.in_progress.get(), connections = connections.len(); "stopping");
--- a/instance/src/release.rs
+++ b/instance/src/release.rs
@@ -19,6 +19,9 @@
 #[expect(dead_code, reason = "used once proofs and usage are sent")]
 pub const CUSTOMERS: u32 = 4;
 
+/// The first version whose instances tell each other of changes of the store.
+pub const FEED: u32 = 4;
+
 /// Publishes the release in the metrics.
 pub fn describe() {
     let protocol = PROTOCOL.to_string();
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -45,6 +45,7 @@
 use crate::call::request_id;
 use crate::crashes;
 use crate::customer;
+use crate::feed;
 use crate::gather;
 use crate::handover;
 use crate::handover::HandoverRequest;
@@ -149,12 +150,25 @@
 pub async fn handle(
     shared: Rc<Shared>,
     request: Request<Incoming>,
-    mut origin: Origin,
+    origin: Origin,
 ) -> Response<Full<Bytes>> {
     let _in_progress = InProgress::new(&shared);
-    if origin.source == Source::Instance && request.headers().contains_key(tokens::HEADER) {
-        return tokens::serve(&shared, request).await;
-    }
+    let request = match origin.source {
+        Source::Instance => match answer_message(&shared, request).await {
+            Ok(response) => return response,
+            Err(request) => request,
+        },
+        Source::Caller | Source::Relay => request,
+    };
+    serve(&shared, request, origin).await
+}
+
+/// Answers a request of a caller, or its part that another instance has handed over or relayed.
+async fn serve(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    mut origin: Origin,
+) -> Response<Full<Bytes>> {
     let plan = shared.wait_for_plan().await;
     let Some(plan) = plan else {
         return refuse_without_plan(request.headers(), origin.source);
@@ -162,12 +176,12 @@
     let Some(route) = find_route(&plan, &request) else {
         return refuse_without_route(&plan, &request, origin.source);
     };
-    if origin.source == Source::Caller && ends_within(&shared, route.objective) {
+    if origin.source == Source::Caller && ends_within(shared, route.objective) {
         log::info!(request = request_id(request.headers()); "request refused: the process is about to end");
         return refuse(STOPPING_PAUSE);
     }
     if origin.source == Source::Instance
-        && let Some(accepted) = relay::accept(&shared, &plan, request.headers())
+        && let Some(accepted) = relay::accept(shared, &plan, request.headers())
     {
         if !accepted {
             return relay::refusal();
@@ -176,12 +190,12 @@
     }
     let handover_request = match origin.source {
         Source::Caller | Source::Relay => None,
-        Source::Instance => match handover::accept(&shared, &plan, &route, request.headers()) {
+        Source::Instance => match handover::accept(shared, &plan, &route, request.headers()) {
             Some(handover_request) => Some(handover_request),
             None => return empty_response(StatusCode::CONFLICT),
         },
     };
-    let identity = customer::identify(&shared, &plan, &route, request.headers(), origin.source);
+    let identity = customer::identify(shared, &plan, &route, request.headers(), origin.source);
     let identity = match identity {
         Ok(identity) => identity,
         Err(refusal) => return refusal.respond(),
@@ -214,7 +228,7 @@
         route,
     });
     if origin.source == Source::Caller && shared.reachability.borrow().is_cut_off() {
-        return relay::run(&shared, &forwarded, &plan).await;
+        return relay::run(shared, &forwarded, &plan).await;
     }
     let positions = match (&forwarded.route.target, &handover_request) {
         (_, Some(handover_request)) => handover_request.shards.clone(),
@@ -225,15 +239,15 @@
         version: plan.version(),
         positions,
     };
-    let request = fanout_request(&shared, &plan, &forwarded, &query.positions, wait, origin);
+    let request = fanout_request(shared, &plan, &forwarded, &query.positions, wait, origin);
     let Some(mut request) = request else {
         return refuse(retry_after(&forwarded.route));
     };
     let Some(handover_request) = handover_request else {
-        return serve_caller(&shared, &plan, &forwarded, (request, query), wait, origin).await;
+        return serve_caller(shared, &plan, &forwarded, (request, query), wait, origin).await;
     };
     limit_to_due_time(
-        &shared,
+        shared,
         &mut request,
         &handover_request,
         role,
@@ -241,13 +255,31 @@
     );
     let groups = match role {
         HandoverRole::Caller | HandoverRole::Owner => Vec::new(),
-        HandoverRole::Coordinator => assign_to_owners(&shared, &mut request),
+        HandoverRole::Coordinator => assign_to_owners(shared, &mut request),
     };
-    let end = gather::run(&shared, &forwarded, request, query, groups).await;
+    let end = gather::run(shared, &forwarded, request, query, groups).await;
     if end.has_survivor {
-        crashes::record_survival(&shared, &forwarded);
+        crashes::record_survival(shared, &forwarded);
+    }
+    end.respond_to_instance(shared, &plan, &forwarded, origin, &handover_request)
+}
+
+/// Answers a message of another instance that is no request of a caller.
+///
+/// # Errors
+///
+/// Returns the request if it comes from a caller.
+async fn answer_message(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Request<Incoming>> {
+    if request.headers().contains_key(tokens::HEADER) {
+        Ok(tokens::serve(shared, request).await)
+    } else if request.headers().contains_key(feed::HEADER) {
+        Ok(feed::serve(shared, request.headers()).await)
+    } else {
+        Err(request)
     }
-    end.respond_to_instance(&shared, &plan, &forwarded, origin, &handover_request)
 }
 
 fn refuse_without_plan(headers: &HeaderMap, source: Source) -> Response<Full<Bytes>> {
@@ -350,6 +382,7 @@
     headers.remove(handover::DIGEST_HEADER);
     headers.remove(relay::HEADER);
     headers.remove(tokens::HEADER);
+    headers.remove(feed::HEADER);
     for name in HOP_HEADERS.iter().chain(&named) {
         headers.remove(name);
     }
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -35,6 +35,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::feed::Feed;
 use crate::pool::Pool;
 
 /// The number of instances, and of their failure domains, assumed until the registrations have been
@@ -134,6 +135,8 @@
     /// The socket for datagrams between instances, at the address for other instances, once it is
     /// bound.
     pub datagrams: OnceCell<UdpSocket>,
+    /// The latest changes of the store, for the instances that learn them from this one.
+    pub feed: Feed,
     /// Whether the watch of the store still returns changes.
     pub watch: RefCell<watch::Monitor>,
     /// Wakes whoever waits for [`Shared::watch`] to change.
@@ -176,6 +179,7 @@
         let read_bytes = settings.memory_bytes / READ_MEMORY_DIVISOR;
         Self {
             bounds: Cell::new(settings.bounds),
+            feed: Feed::new(settings.memory_bytes),
             settings,
             clock,
             plan: RefCell::new(None),
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -22,6 +22,7 @@
 mod readers;
 mod relay;
 mod rendezvous;
+mod upstream;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -36,6 +37,8 @@
 pub use self::readers::Readers;
 use self::rendezvous::combine;
 use self::rendezvous::rank;
+pub use self::upstream::UpstreamFailures;
+pub use self::upstream::Upstreams;
 use super::fleet::Fleet;
 use super::rate_limit::Precedence;
 
--- a/lib/src/coordination/serving/instances/readers.rs
+++ b/lib/src/coordination/serving/instances/readers.rs
@@ -8,11 +8,11 @@
 
 /// The most instances in one group, whose reader tells all others. A reader sends that many
 /// datagrams in succession.
-const MAX_GROUP: usize = 64;
+pub(super) const MAX_GROUP: usize = 64;
 
 /// The number of instances up to which all share one group. In a larger fleet the groups stay
 /// inside failure domains, so that little crosses their boundaries.
-const MAX_GROUP_ACROSS_DOMAINS: usize = 16;
+pub(super) const MAX_GROUP_ACROSS_DOMAINS: usize = 16;
 
 /// The group of an instance.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -6,6 +6,7 @@
 //! themselves are too small for that: one instance grants the calls to such a leaf ([`rate_limit`]).
 
 pub mod alarms;
+pub mod change_log;
 pub mod concurrency_limit;
 pub mod fanout;
 pub mod fleet;
@@ -19,6 +20,7 @@
 pub mod watch;
 
 pub use self::alarms::Alarms;
+pub use self::change_log::ChangeLog;
 pub use self::concurrency_limit::ConcurrencyLimits;
 pub use self::fanout::Fanout;
 pub use self::fleet::Fleet;
