freshness: refuse keys without a proof of the latest configuration

Cause: a key that was taken away kept working at an instance that was suspended or cut off from the store, for as long as it heard of no change.

Change: with `bounds.strict_revocation`, requests with keys on routes that are not public get 503 with Retry-After unless the configuration is proven to have been the latest one within `revoke_ms` less 2 %. A proof comes from a listing, from a current read once its changes are applied, or from another instance that answers a challenge; the recipient dates it by its own clock. Challenges are numbers that only their sender can date. Readers read at 0.3 and 0.45 of the time, others at 0.6. The pause after changes ends if a proof waits for changes. No moment is a proof until 2.3 s after the listing that follows a restore. Groups are listed by rank.

Tests: serving_freshness (11), revocation (4), customers, changes and serving_readers passed. Mutations that failed them: no check (2 tests), reads that prove without their changes (3), answers dated by the latest challenge (1), versions not compared (2), restores ignored (1), challenges never urgent (1), challenges taken when the proof is established (5).

--- a/instance/src/customer.rs
+++ b/instance/src/customer.rs
@@ -18,6 +18,7 @@
 use crate::answer::empty_response;
 use crate::answer::refuse;
 use crate::call::request_id;
+use crate::freshness;
 use crate::relay;
 use crate::request::Source;
 use crate::shared::Shared;
@@ -41,7 +42,6 @@
     /// Its key belongs to no customer, or to several.
     Unknown,
     /// This instance has no proof that its configuration is the latest one.
-    #[expect(dead_code, reason = "used once proofs are required")]
     Unproven(Duration),
     /// Another instance that does not check keys has sent it.
     Unchecked,
@@ -105,7 +105,7 @@
 
 /// Returns the customer that the key of a caller's request belongs to.
 fn check_key(
-    _shared: &Shared,
+    shared: &Shared,
     customers: &Customers,
     headers: &HeaderMap,
 ) -> Result<Arc<str>, Refusal> {
@@ -115,6 +115,7 @@
         (_, None) => return Err(Refusal::Missing),
         (_, Some(_)) => return Err(Refusal::Several),
     };
+    freshness::check(shared).map_err(Refusal::Unproven)?;
     let customer = customers.find(KeyDigest::new(key));
     customer
         .map(|customer| Arc::clone(&customer.name))
--- a/instance/src/datagram.rs
+++ b/instance/src/datagram.rs
@@ -1,5 +1,6 @@
-//! Datagrams between instances: what a current read of the store has shown, and alarms about
-//! requests under which leafs may have ended.
+//! Datagrams between instances: what a current read of the store has shown, challenges and their
+//! answers, which prove that a configuration is the latest one, and alarms about requests under which
+//! leafs may have ended.
 //!
 //! They go between the addresses for other instances. One that is lost costs a read of the store, or
 //! lets an instance send a harmful request once more.
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use camphorhold::coordination::serving::alarms::Level;
+use camphorhold::coordination::serving::freshness::Challenge;
 use camphorhold::coordination::serving::watch::Read;
 use camphorhold::coordination::serving::watch::Sighting;
 use camphorhold::state::id::Fingerprint;
@@ -18,6 +20,7 @@
 use thiserror::Error;
 use tokio::net::UdpSocket;
 
+use crate::freshness;
 use crate::release;
 use crate::shared::Shared;
 
@@ -39,6 +42,8 @@
 enum Wire {
     Confirmation(WireConfirmation),
     Alarm(WireAlarm),
+    Challenge(WireChallenge),
+    ChallengeAnswer(WireChallengeAnswer),
     // A kind that a later release has added.
     #[serde(other)]
     Unknown,
@@ -55,6 +60,26 @@
     read_ms_ago: u64,
 }
 
+/// Asks a reader to answer once it has a proof from a read that it sends after this.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireChallenge {
+    challenge: u64,
+    // The sender gets no proofs from its readers.
+    #[serde(default)]
+    urgent: bool,
+}
+
+/// The sender's configuration was the latest one at the time of a read that it sent after it had
+/// received the challenge.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireChallengeAnswer {
+    challenge: u64,
+    version: u64,
+    // Absent if the store states none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    era: Option<Box<str>>,
+}
+
 /// What is suspected of a request.
 #[derive(Debug, Deserialize, Serialize)]
 struct WireAlarm {
@@ -115,6 +140,25 @@
     send(shared, others, &Wire::Confirmation(confirmation));
 }
 
+/// Sends a challenge to other instances.
+pub fn send_challenge(shared: &Shared, others: &[SocketAddr], challenge: Challenge) {
+    let challenge = WireChallenge {
+        challenge: challenge.number,
+        urgent: challenge.urgent,
+    };
+    send(shared, others, &Wire::Challenge(challenge));
+}
+
+/// Answers the challenge of another instance.
+pub fn send_answer(shared: &Shared, address: SocketAddr, challenge: u64) {
+    let answer = WireChallengeAnswer {
+        challenge,
+        version: shared.freshness.borrow().version(),
+        era: shared.store_era.get().map(|era| era.to_string().into()),
+    };
+    send(shared, &[address], &Wire::ChallengeAnswer(answer));
+}
+
 /// Records a loss of connections under a request, and tells all instances of it if it is news.
 pub fn raise_alarm(shared: &Shared, fingerprint: Fingerprint, level: Level) {
     let mut alarms = shared.alarms.borrow_mut();
@@ -167,6 +211,8 @@
     let kind = match datagram {
         Wire::Confirmation(_) => "confirmation",
         Wire::Alarm(_) => "alarm",
+        Wire::Challenge(_) => "challenge",
+        Wire::ChallengeAnswer(_) => "challenge_answer",
         Wire::Unknown => "unknown",
     };
     metrics::counter!("camphorhold_datagrams_total", "kind" => kind, "outcome" => outcome)
@@ -217,7 +263,7 @@
         };
         let datagram = read(&shared, &buffer[..length], sender);
         let applied = datagram.and_then(|datagram| {
-            apply(&shared, &datagram)?;
+            apply(&shared, &datagram, sender)?;
             count(&datagram, "received");
             Ok(())
         });
@@ -241,10 +287,24 @@
     Ok(serde_json::from_slice(datagram)?)
 }
 
-fn apply(shared: &Shared, datagram: &Wire) -> Result<(), Invalid> {
+fn apply(shared: &Shared, datagram: &Wire, sender: SocketAddr) -> Result<(), Invalid> {
     match datagram {
         Wire::Confirmation(confirmation) => apply_confirmation(shared, confirmation),
         Wire::Alarm(alarm) => apply_alarm(shared, alarm)?,
+        Wire::Challenge(challenge) => {
+            let challenge = Challenge {
+                number: challenge.challenge,
+                urgent: challenge.urgent,
+            };
+            freshness::on_challenge(shared, sender, challenge);
+        }
+        Wire::ChallengeAnswer(answer) => {
+            // An answer of another era says nothing about this one.
+            let era = shared.store_era.get().map(|era| era.to_string());
+            if era.as_deref() == answer.era.as_deref() {
+                freshness::on_answer(shared, answer.challenge, answer.version);
+            }
+        }
         Wire::Unknown => {}
     }
     Ok(())
--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use camphorhold::coordination::serving::instances::Readers;
 use camphorhold::coordination::serving::watch;
 use camphorhold::coordination::serving::watch::Read;
 use camphorhold::coordination::serving::watch::Sighting;
@@ -17,6 +16,8 @@
 use camphorhold_platform::store::StoreError;
 
 use crate::datagram;
+use crate::freshness;
+use crate::group::Group;
 use crate::mirror::Mirror;
 use crate::release;
 use crate::shared::Shared;
@@ -37,25 +38,6 @@
 /// not lapse in a shorter time.
 const MIN_OUTAGE: Duration = Duration::from_millis(900);
 
-/// The instances that share current reads with this one, as of a generation of the registrations.
-#[derive(Debug, Default)]
-struct Group {
-    generation: Option<u64>,
-    readers: Readers,
-}
-
-impl Group {
-    fn get(&mut self, shared: &Shared) -> &Readers {
-        let instances = shared.instances.borrow();
-        let generation = instances.generation();
-        if self.generation != Some(generation) {
-            self.generation = Some(generation);
-            self.readers = instances.readers(release::DATAGRAMS);
-        }
-        &self.readers
-    }
-}
-
 /// Reads the store, watches it for changes and applies them to the shared state.
 pub struct Follower {
     shared: Rc<Shared>,
@@ -78,7 +60,7 @@
             mirror,
             store,
             probes,
-            readers: Group::default(),
+            readers: Group::new(release::DATAGRAMS),
             failing_since: None,
         }
     }
@@ -179,6 +161,12 @@
 
     async fn read_all(&mut self) -> Result<u64, StoreError> {
         let sent = self.shared.now();
+        let sent_since_boot = self.shared.clock.since_boot();
+        let begun = self
+            .shared
+            .freshness
+            .borrow_mut()
+            .begin_read(sent_since_boot);
         let listing = self.store.list("").await?;
         self.on_success();
         self.shared
@@ -189,6 +177,12 @@
         self.mirror
             .borrow_mut()
             .apply_listing(&listing, self.store.era());
+        let answers = self
+            .shared
+            .freshness
+            .borrow_mut()
+            .on_listed(begun, listing.revision);
+        freshness::answer(&self.shared, &answers);
         Ok(listing.revision)
     }
 
@@ -208,6 +202,20 @@
         }
     }
 
+    /// Pauses after changes, so that further ones are read together, unless a proof of the latest
+    /// configuration waits for them.
+    async fn pause(&self) {
+        let wanted = self.shared.changes_wanted.notified();
+        if freshness::wants_changes(&self.shared) {
+            return;
+        }
+        let change_time = self.shared.bounds.get().change_time;
+        tokio::select! {
+            () = tokio::time::sleep(change_time.mul_f64(BATCH_SHARE)) => {}
+            () = wanted => {}
+        }
+    }
+
     async fn read_changes(&mut self, revision: u64) -> Result<u64, StoreError> {
         let changes = self.watch(revision).await?;
         self.on_success();
@@ -219,9 +227,14 @@
         let has_events = !changes.events.is_empty();
         log::info!(after = revision, events = changes.events.len(), revision = changes.revision, era:? = self.store.era(); "changes read from the store");
         self.mirror.borrow_mut().apply_changes(&changes);
+        let answers = self
+            .shared
+            .freshness
+            .borrow_mut()
+            .on_applied(changes.revision);
+        freshness::answer(&self.shared, &answers);
         if has_events && !changes.is_full {
-            let change_time = self.shared.bounds.get().change_time;
-            tokio::time::sleep(change_time.mul_f64(BATCH_SHARE)).await;
+            self.pause().await;
         }
         Ok(changes.revision)
     }
@@ -285,11 +298,17 @@
         }
         let sent = shared.now();
         let sent_since_boot = shared.clock.since_boot();
+        let begun = (read == Read::Current)
+            .then(|| shared.freshness.borrow_mut().begin_read(sent_since_boot));
         let revision = match store.probe(read).await {
             Ok(revision) => revision,
             Err(error) => return error,
         };
         if let Some(revision) = revision {
+            if let Some(begun) = begun {
+                let answers = shared.freshness.borrow_mut().on_read(begun, revision);
+                freshness::answer(shared, &answers);
+            }
             record_revision("probed", revision);
             shared.on_sighting(Sighting {
                 read,
--- a/instance/src/mirror.rs
+++ b/instance/src/mirror.rs
@@ -80,6 +80,7 @@
     pub fn on_restored(&mut self, era: Era) {
         self.shared.store_era.set(Some(era));
         self.shared.watch.borrow_mut().on_restored();
+        self.shared.freshness.borrow_mut().on_restored();
         self.shared.watch_changed.notify_waiters();
         metrics::counter!("camphorhold_store_restores_total").increment(1);
         let config_version = self.shared.plan_version();
@@ -141,6 +142,11 @@
         if self.restore == Some(Restore::Noticed) {
             let rewritten_by = self.shared.now() + LAPSED_LEAF_RETENTION;
             self.keep_lapsed_until = Some(rewritten_by);
+            let rewritten_by_since_boot = self.shared.clock.since_boot() + LAPSED_LEAF_RETENTION;
+            self.shared
+                .freshness
+                .borrow_mut()
+                .on_rewriting(rewritten_by_since_boot);
             self.restore = Some(Restore::Rewriting(rewritten_by));
         }
         let present: HashSet<&str> = listing.items.iter().map(|item| &*item.key).collect();
@@ -298,6 +304,10 @@
         #[expect(clippy::cast_precision_loss, reason = "versions are far below 2^53")]
         metrics::gauge!("camphorhold_config_version").set(plan.version() as f64);
         self.shared.prune(&plan);
+        self.shared
+            .freshness
+            .borrow_mut()
+            .on_version(plan.version());
         *self.shared.plan.borrow_mut() = Some(Arc::new(plan));
     }
 
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -23,6 +23,7 @@
 use crate::datagram;
 use crate::exposition;
 use crate::follower::Follower;
+use crate::freshness;
 use crate::mirror::Mirror;
 use crate::probe;
 use crate::registration;
@@ -131,6 +132,8 @@
     let state = Rc::clone(&shared);
     spawn("datagrams", move || datagram::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
+    spawn("freshness", move || freshness::run(Rc::clone(&state)));
+    let state = Rc::clone(&shared);
     spawn("registration", move || registration::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
     spawn("tokens", move || tokens::run(Rc::clone(&state)));
@@ -211,6 +214,7 @@
 }
 
 async fn sweep(shared: Rc<Shared>, connections: Rc<Connections>) {
+    let mut is_proven = false;
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = shared.now();
@@ -225,6 +229,7 @@
         drop(fleet);
         let limits = shared.plan.borrow().as_ref().map(|plan| plan.limits());
         connections.sweep(limits, now);
+        freshness::report(&shared, &mut is_proven);
         if let Some(age) = shared.watch.borrow().confirmation_age(now) {
             metrics::gauge!("camphorhold_store_confirmation_age_seconds").set(age.as_secs_f64());
         }
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -13,6 +13,7 @@
 use camphorhold::coordination::serving::Alarms;
 use camphorhold::coordination::serving::ConcurrencyLimits;
 use camphorhold::coordination::serving::Fleet;
+use camphorhold::coordination::serving::Freshness;
 use camphorhold::coordination::serving::Instances;
 use camphorhold::coordination::serving::RetryBudgets;
 use camphorhold::coordination::serving::Suspects;
@@ -134,6 +135,10 @@
     /// The socket for datagrams between instances, at the address for other instances, once it is
     /// bound.
     pub datagrams: OnceCell<UdpSocket>,
+    /// Whether the configuration is proven to be the latest one.
+    pub freshness: RefCell<Freshness>,
+    /// Wakes the follower during its pause after changes, if a proof waits for further ones.
+    pub changes_wanted: Notify,
     /// Whether the watch of the store still returns changes.
     pub watch: RefCell<watch::Monitor>,
     /// Wakes whoever waits for [`Shared::watch`] to change.
@@ -196,6 +201,8 @@
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
             datagrams: OnceCell::new(),
+            freshness: RefCell::new(Freshness::new(rand::rng().random())),
+            changes_wanted: Notify::new(),
             watch: RefCell::default(),
             watch_changed: Notify::new(),
             store_era: Cell::new(None),
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -31,6 +31,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use nix::sys::signal::Signal;
+use nix::unistd::Pid;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -392,6 +393,39 @@
         result.unwrap();
     }
 
+    /// Sets `strict_revocation` with this revocation time in the settings file, and waits until it is
+    /// in force.
+    pub async fn set_revocation(&mut self, revocation_time: Duration) {
+        let revoke_ms = u64::try_from(revocation_time.as_millis()).unwrap();
+        let result = self.process.change_settings(|settings| {
+            settings["bounds"]["strict_revocation"] = true.into();
+            settings["bounds"]["revoke_ms"] = revoke_ms.into();
+        });
+        result.unwrap();
+        self.wait_for_bounds(&format!("revocation_time: Some({revocation_time:?})"))
+            .await;
+    }
+
+    /// Sets the time for changes in the settings file, and waits until it is in force.
+    pub async fn set_change_time(&mut self, change_time: Duration) {
+        let change_ms = u64::try_from(change_time.as_millis()).unwrap();
+        let result = self.process.change_settings(|settings| {
+            settings["bounds"]["config_apply_ms"] = change_ms.into();
+            settings["bounds"]["drain_ms"] = change_ms.into();
+        });
+        result.unwrap();
+        self.wait_for_bounds(&format!("change_time: {change_time:?}"))
+            .await;
+    }
+
+    async fn wait_for_bounds(&mut self, text: &str) {
+        self.hang_up();
+        wait_until("the settings are in force", || async {
+            self.log().contains(text)
+        })
+        .await;
+    }
+
     /// Makes the settings file invalid, without a signal to the process.
     pub fn invalidate_settings(&mut self) {
         let result = self
@@ -428,6 +462,11 @@
         self.process.signal(Signal::SIGCONT).unwrap();
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.process.id().unwrap()
+    }
+
     /// Sends SIGHUP, at which the process reads its settings file again.
     pub fn hang_up(&mut self) {
         self.process.signal(Signal::SIGHUP).unwrap();
@@ -479,6 +518,12 @@
         .unwrap()
 }
 
+/// Lets the frozen process of an instance continue while its address is in use.
+pub fn thaw(id: u32) {
+    let id = Pid::from_raw(i32::try_from(id).unwrap());
+    nix::sys::signal::kill(id, Signal::SIGCONT).unwrap();
+}
+
 pub async fn is_ready(address: SocketAddr) -> bool {
     let Ok(mut connection) = Connection::open(address, TCP_OPTIONS).await else {
         return false;
--- a/lib/src/coordination/serving/instances/readers.rs
+++ b/lib/src/coordination/serving/instances/readers.rs
@@ -19,7 +19,7 @@
 pub struct Readers {
     /// The number of instances of the group that come before this one.
     pub rank: usize,
-    /// The addresses of the others.
+    /// The addresses of the others, by their ranks.
     pub others: Vec<SocketAddr>,
 }
 
@@ -39,7 +39,7 @@
         };
         let is_local = |domain: &str| domain == &*self.own_domain;
         let own_hash = xxh3_64(self.own_name.as_bytes());
-        let members: Vec<_> = if candidates().count() < MAX_GROUP_ACROSS_DOMAINS {
+        let mut members: Vec<_> = if candidates().count() < MAX_GROUP_ACROSS_DOMAINS {
             candidates().collect()
         } else {
             let local = candidates().filter(|(_, location)| is_local(&location.domain));
@@ -48,6 +48,7 @@
                 .filter(|(hash, _)| hash % groups == own_hash % groups)
                 .collect()
         };
+        members.sort_by_key(|(hash, _)| *hash);
         Readers {
             rank: members.iter().filter(|(hash, _)| *hash < own_hash).count(),
             others: members
