--- a/instance/tests/support/recorder.rs
+++ b/instance/tests/support/recorder.rs
@@ -32,9 +32,15 @@
 /// The headers of messages between instances begin like this.
 const OWN_PREFIX: &str = "camphorhold-";
 
-/// The first protocol whose instances send each other datagrams, and how many kinds of them.
+/// The first protocols whose instances send each other datagrams, and challenges among them.
 const FIRST_WITH_DATAGRAMS: u64 = 3;
-const DATAGRAM_KINDS: usize = 2;
+const FIRST_WITH_CHALLENGES: u64 = 4;
+
+/// A challenge of the peer, which instances answer.
+const CHALLENGE: &[u8] = br#"{"kind":"challenge","challenge":1}"#;
+
+/// The revocation time for which instances exchange challenges.
+const REVOCATION_TIME: Duration = Duration::from_secs(1);
 
 /// The time within which notices are sent after a claim, by releases that send them.
 const NOTICE_TIME: Duration = Duration::from_millis(400);
@@ -150,7 +156,12 @@
 
     async fn receive(self, socket: UdpSocket) {
         let mut buffer = [0; 2_048];
-        while let Ok((length, _)) = socket.recv_from(&mut buffer).await {
+        while let Ok((length, sender)) = socket.recv_from(&mut buffer).await {
+            let value: Value = serde_json::from_slice(&buffer[..length]).unwrap_or_default();
+            if value["kind"] == "challenge" {
+                // One that gets lost is sent again at the next challenge.
+                let _ = socket.send_to(CHALLENGE, sender).await;
+            }
             self.datagrams
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
@@ -259,7 +270,7 @@
         "b",
         &json!({ "capacity": 1.0, "protocol": u32::MAX }),
     );
-    let instance = Instance::start_program(&platform, program, "1", "a").await;
+    let mut instance = Instance::start_program(&platform, program, "1", "a").await;
 
     let handover = |message: &Message| message.headers.contains_key("camphorhold-handover");
     wait_until("shards are handed over", || async {
@@ -323,12 +334,22 @@
         });
         by_kind.collect()
     };
-    if registration["protocol"].as_u64() >= Some(FIRST_WITH_DATAGRAMS) {
-        wait_until("datagrams of all kinds are sent", || async {
-            datagrams().len() == DATAGRAM_KINDS
-        })
-        .await;
+    let protocol = registration["protocol"].as_u64();
+    if protocol >= Some(FIRST_WITH_CHALLENGES) {
+        instance.set_revocation(REVOCATION_TIME).await;
+    }
+    let mut kinds = Vec::new();
+    if protocol >= Some(FIRST_WITH_DATAGRAMS) {
+        kinds.extend(["alarm", "confirmation"]);
     }
+    if protocol >= Some(FIRST_WITH_CHALLENGES) {
+        kinds.extend(["challenge", "challenge_answer"]);
+    }
+    kinds.sort_unstable();
+    wait_until("datagrams of all kinds are sent", || async {
+        datagrams().keys().eq(&kinds)
+    })
+    .await;
     Recording {
         registration,
         crash_record: parse(&crash_record),
