--- a/instance/src/follower.rs
+++ b/instance/src/follower.rs
@@ -8,8 +8,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use camphorhold::coordination::serving::instances::Readers;
-use camphorhold::coordination::serving::instances::Upstreams;
 use camphorhold::coordination::serving::watch;
 use camphorhold::coordination::serving::watch::Read;
 use camphorhold::coordination::serving::watch::Sighting;
@@ -22,6 +20,8 @@
 
 use crate::datagram;
 use crate::feed;
+use crate::freshness;
+use crate::group::Group;
 use crate::mirror::Mirror;
 use crate::release;
 use crate::shared::Shared;
@@ -46,36 +46,6 @@
 /// not lapse in a shorter time.
 const MIN_OUTAGE: Duration = Duration::from_millis(900);
 
-/// The instances that share current reads with this one, as of a generation of the registrations.
-#[derive(Debug, Default)]
-struct Group {
-    generation: Option<u64>,
-    readers: Readers,
-    upstreams: Upstreams,
-}
-
-impl Group {
-    fn update(&mut self, shared: &Shared) {
-        let instances = shared.instances.borrow();
-        let generation = instances.generation();
-        if self.generation != Some(generation) {
-            self.generation = Some(generation);
-            self.readers = instances.readers(release::DATAGRAMS);
-            self.upstreams = instances.upstreams(release::FEED);
-        }
-    }
-
-    fn readers(&mut self, shared: &Shared) -> &Readers {
-        self.update(shared);
-        &self.readers
-    }
-
-    fn upstreams(&mut self, shared: &Shared) -> &Upstreams {
-        self.update(shared);
-        &self.upstreams
-    }
-}
-
 /// From where changes were read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
@@ -89,7 +59,7 @@
     store: Store,
     // A second client for probes: the connection of the first is busy during a watch.
     probes: Store,
-    group: Group,
+    readers: Group,
     // Outlives the follower: the fleet holds what was applied to it.
     mirror: Rc<RefCell<Mirror>>,
     failing_since: Option<Instant>,
@@ -105,7 +75,7 @@
             mirror,
             store,
             probes,
-            group: Group::default(),
+            readers: Group::new(release::DATAGRAMS),
             failing_since: None,
         }
     }
@@ -206,6 +176,12 @@
 
     async fn read_all(&mut self) -> Result<u64, StoreError> {
         let sent = self.shared.now();
+        let sent_since_boot = self.shared.clock.since_boot();
+        let begun = self
+            .shared
+            .freshness
+            .borrow_mut()
+            .begin_read(sent_since_boot);
         let listing = self.store.list("").await?;
         self.on_success();
         self.shared
@@ -217,13 +193,19 @@
             .borrow_mut()
             .apply_listing(&listing, self.store.era());
         self.shared.feed.on_listed(listing.revision);
+        let answers = self
+            .shared
+            .freshness
+            .borrow_mut()
+            .on_listed(begun, listing.revision);
+        freshness::answer(&self.shared, &answers);
         Ok(listing.revision)
     }
 
     /// Waits for changes after `revision`, at an upstream or, if there is none that answers, at the
     /// store.
     async fn watch(&mut self, revision: u64) -> Result<(Source, Changes), StoreError> {
-        let upstreams = &self.group.upstreams(&self.shared).addresses;
+        let upstreams = &self.readers.upstreams(&self.shared).addresses;
         let now = self.shared.now();
         let upstream = self.shared.feed.failures.borrow().choose(upstreams, now);
         if let Some(upstream) = upstream
@@ -244,7 +226,7 @@
             changes = self.store.watch(revision, WATCH_TIMEOUT) => changes?,
             never = run_timers(&self.mirror) => match never {},
             missed = wait_until_lost(shared) => return Err(StoreError::MissedChanges(missed)),
-            error = probe(shared, &mut self.probes, &mut self.group) => return Err(error),
+            error = probe(shared, &mut self.probes, &mut self.readers) => return Err(error),
         };
         self.on_success();
         Ok(changes)
@@ -264,7 +246,7 @@
             learned = feed::learn(shared, upstream, revision) => learned.map_err(Some),
             never = run_timers(&self.mirror) => match never {},
             _ = wait_until_lost(shared) => Err(None),
-            error = probe(shared, &mut self.probes, &mut self.group) => return Err(error),
+            error = probe(shared, &mut self.probes, &mut self.readers) => return Err(error),
         };
         let mut learned = match learned {
             Ok(learned) => learned,
@@ -288,6 +270,26 @@
         Ok(Some(learned.changes))
     }
 
+    /// Pauses after changes, so that further ones are read together, unless a proof of the latest
+    /// configuration waits for them. The pause is short at an instance that others learn from, since
+    /// they would miss the changes meanwhile.
+    async fn pause(&mut self) {
+        let wanted = self.shared.changes_wanted.notified();
+        if freshness::wants_changes(&self.shared) {
+            return;
+        }
+        let bounds = self.shared.bounds.get();
+        let pause = if self.readers.upstreams(&self.shared).is_upstream {
+            bounds.settling_time.mul_f64(UPSTREAM_BATCH_SHARE)
+        } else {
+            bounds.change_time.mul_f64(BATCH_SHARE)
+        };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = wanted => {}
+        }
+    }
+
     async fn read_changes(&mut self, revision: u64) -> Result<u64, StoreError> {
         let (source, changes) = self.watch(revision).await?;
         self.shared
@@ -298,23 +300,18 @@
         let has_events = !changes.events.is_empty();
         log::info!(after = revision, events = changes.events.len(), revision = changes.revision, source:? = source, era:? = self.store.era(); "changes read from the store");
         self.mirror.borrow_mut().apply_changes(&changes);
+        let answers = self
+            .shared
+            .freshness
+            .borrow_mut()
+            .on_applied(changes.revision);
+        freshness::answer(&self.shared, &answers);
         self.shared.feed.on_changes(&changes);
         if has_events && !changes.is_full && source == Source::Store {
-            self.pause_after_changes().await;
+            self.pause().await;
         }
         Ok(changes.revision)
     }
-
-    /// Pauses so that a burst of changes is read with few calls. At an instance that others learn from,
-    /// the pause is short, and ends when changes have been seen that the others would miss.
-    async fn pause_after_changes(&mut self) {
-        let bounds = self.shared.bounds.get();
-        if !self.group.upstreams(&self.shared).is_upstream {
-            tokio::time::sleep(bounds.change_time.mul_f64(BATCH_SHARE)).await;
-            return;
-        }
-        tokio::time::sleep(bounds.settling_time.mul_f64(UPSTREAM_BATCH_SHARE)).await;
-    }
 }
 
 fn on_watch_sent(shared: &Shared) {
@@ -365,7 +362,7 @@
     let mut cheap_at = shared.now();
     loop {
         let changed = shared.watch_changed.notified();
-        let readers = group.readers(shared);
+        let readers = group.get(shared);
         let settling_time = shared.bounds.get().settling_time;
         let current_at = shared
             .watch
@@ -381,11 +378,17 @@
         }
         let sent = shared.now();
         let sent_since_boot = shared.clock.since_boot();
+        let begun = (read == Read::Current)
+            .then(|| shared.freshness.borrow_mut().begin_read(sent_since_boot));
         let revision = match store.probe(read).await {
             Ok(revision) => revision,
             Err(error) => return error,
         };
         if let Some(revision) = revision {
+            if let Some(begun) = begun {
+                let answers = shared.freshness.borrow_mut().on_read(begun, revision);
+                freshness::answer(shared, &answers);
+            }
             record_revision("probed", revision);
             shared.on_sighting(Sighting {
                 read,
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -13,6 +13,7 @@
 use camphorhold::coordination::serving::Alarms;
 use camphorhold::coordination::serving::ConcurrencyLimits;
 use camphorhold::coordination::serving::Fleet;
+use camphorhold::coordination::serving::Freshness;
 use camphorhold::coordination::serving::Instances;
 use camphorhold::coordination::serving::RetryBudgets;
 use camphorhold::coordination::serving::Suspects;
@@ -137,6 +138,10 @@
     pub datagrams: OnceCell<UdpSocket>,
     /// The latest changes of the store, for the instances that learn them from this one.
     pub feed: Feed,
+    /// Whether the configuration is proven to be the latest one.
+    pub freshness: RefCell<Freshness>,
+    /// Wakes the follower during its pause after changes, if a proof waits for further ones.
+    pub changes_wanted: Notify,
     /// Whether the watch of the store still returns changes.
     pub watch: RefCell<watch::Monitor>,
     /// Wakes whoever waits for [`Shared::watch`] to change.
@@ -200,6 +205,8 @@
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
             datagrams: OnceCell::new(),
+            freshness: RefCell::new(Freshness::new(rand::rng().random())),
+            changes_wanted: Notify::new(),
             watch: RefCell::default(),
             watch_changed: Notify::new(),
             store_era: Cell::new(None),
--- a/lib/tests/serving_change_log.rs
+++ b/lib/tests/serving_change_log.rs
@@ -149,7 +149,10 @@
             }
             written.extend(batch.iter().map(|(_, _, change)| *change));
             log.append(batch, revision);
-            while asks {
+            if !asks {
+                continue;
+            }
+            loop {
                 let Some(answer) = log.after(known) else {
                     // It reads the store instead.
                     learned.extend(written.iter().filter(|change| change.0 > known).copied());
