instance: report the usage of customers by one duty holder

The platform wants one report per usage window, from one instance at a time, with an epoch that rises with each holder. The duty is a lease in the store; the counts come by datagram, and a window's content is decided once, by a conditional write, before it is posted.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -37,6 +37,7 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::shared::Shared;
+use crate::usage;
 
 /// The longest accepted body of a leaf's answer to a request for one service. A longer one fails the
 /// call.
@@ -74,7 +75,6 @@
     /// The caller's headers, without hop-by-hop headers, `Content-Length` and the handover header.
     pub headers: HeaderMap,
     /// The customer that the caller's key belongs to; `None` if the route needs no key.
-    #[expect(dead_code, reason = "read once usage is counted")]
     pub customer: Option<std::sync::Arc<str>>,
     /// The whole body. Its length is within the limit of the configuration.
     pub body: Bytes,
@@ -83,6 +83,8 @@
     /// Whether a leaf or another instance may have received the request. Set just before the first
     /// bytes are sent.
     pub sent: Cell<bool>,
+    /// Counts the request for its customer.
+    pub usage: usage::Tracker,
 }
 
 impl ForwardedRequest {
@@ -225,7 +227,8 @@
     call: LeafCall,
     mut in_flight: InFlight,
 ) -> End {
-    let result = exchange(&shared, &forwarded, call).await;
+    let usage = usage::Call::new(&shared, &forwarded);
+    let result = exchange(&shared, &forwarded, call, &usage).await;
     let latency = shared.now().saturating_duration_since(in_flight.started);
     let (call_error, answer) = match result {
         Ok((answer, attribution)) => {
@@ -264,6 +267,9 @@
         Some(CallError::NotConnected) => (Outcome::Unsent, CallResult::Disconnected),
         Some(CallError::ConnectionLost) => (Outcome::Lost, CallResult::Disconnected),
     };
+    if matches!(outcome, Outcome::NotRun | Outcome::Unsent) {
+        usage.on_refused();
+    }
     if outcome == Outcome::Answered {
         shared.record_latency(&forwarded.route, latency);
         metrics::histogram!("camphorhold_leaf_call_seconds").record(latency.as_secs_f64());
@@ -412,6 +418,7 @@
     shared: &Rc<Shared>,
     forwarded: &ForwardedRequest,
     call: LeafCall,
+    usage: &usage::Call,
 ) -> Result<(Response<Bytes>, Attribution), http::Error> {
     let leaf = call.leaf;
     let target = shared.fleet.borrow().get(leaf).map(|leaf| {
@@ -439,6 +446,7 @@
     let left = call.deadline.saturating_duration_since(shared.now());
     let request = build_request(forwarded, &id, left);
     forwarded.sent.set(true);
+    usage.on_sent();
     let limit = match forwarded.route.target {
         Target::Shards(_) => MAX_PART_BYTES,
         Target::Service(_) | Target::Split(_) => MAX_ANSWER_BYTES,
--- a/instance/src/datagram.rs
+++ b/instance/src/datagram.rs
@@ -18,11 +18,14 @@
 use thiserror::Error;
 use tokio::net::UdpSocket;
 
+use crate::delivery;
+use crate::delivery::WireReceipt;
+use crate::delivery::WireUsage;
 use crate::release;
 use crate::shared::Shared;
 
 /// The longest accepted datagram. They have some 80 bytes; later releases may add fields.
-const MAX_BYTES: usize = 512;
+pub const MAX_BYTES: usize = 512;
 
 /// How many senders of invalid datagrams are logged.
 const MAX_LOGGED_SENDERS: usize = 100;
@@ -36,9 +39,11 @@
 /// A datagram, as sent in JSON.
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
-enum Wire {
+pub enum Wire {
     Confirmation(WireConfirmation),
     Alarm(WireAlarm),
+    Usage(WireUsage),
+    UsageReceipt(WireReceipt),
     // A kind that a later release has added.
     #[serde(other)]
     Unknown,
@@ -46,7 +51,7 @@
 
 /// What a current read of the store has shown.
 #[derive(Debug, Deserialize, Serialize)]
-struct WireConfirmation {
+pub struct WireConfirmation {
     revision: u64,
     // Absent if the store states none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -57,7 +62,7 @@
 
 /// What is suspected of a request.
 #[derive(Debug, Deserialize, Serialize)]
-struct WireAlarm {
+pub struct WireAlarm {
     fingerprint: Box<str>,
     level: WireLevel,
 }
@@ -144,7 +149,8 @@
     send(shared, &others, &Wire::Alarm(alarm));
 }
 
-fn send(shared: &Shared, others: &[SocketAddr], datagram: &Wire) {
+/// Sends a datagram to these addresses, as far as the socket takes it.
+pub fn send(shared: &Shared, others: &[SocketAddr], datagram: &Wire) {
     let bytes = match serde_json::to_vec(datagram) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -167,6 +173,8 @@
     let kind = match datagram {
         Wire::Confirmation(_) => "confirmation",
         Wire::Alarm(_) => "alarm",
+        Wire::Usage(_) => "usage",
+        Wire::UsageReceipt(_) => "usage_receipt",
         Wire::Unknown => "unknown",
     };
     metrics::counter!("camphorhold_datagrams_total", "kind" => kind, "outcome" => outcome)
@@ -217,7 +225,7 @@
         };
         let datagram = read(&shared, &buffer[..length], sender);
         let applied = datagram.and_then(|datagram| {
-            apply(&shared, &datagram)?;
+            apply(&shared, &datagram, sender)?;
             count(&datagram, "received");
             Ok(())
         });
@@ -241,10 +249,12 @@
     Ok(serde_json::from_slice(datagram)?)
 }
 
-fn apply(shared: &Shared, datagram: &Wire) -> Result<(), Invalid> {
+fn apply(shared: &Shared, datagram: &Wire, sender: SocketAddr) -> Result<(), Invalid> {
     match datagram {
         Wire::Confirmation(confirmation) => apply_confirmation(shared, confirmation),
         Wire::Alarm(alarm) => apply_alarm(shared, alarm)?,
+        Wire::Usage(usage) => delivery::on_usage(shared, usage, sender),
+        Wire::UsageReceipt(receipt) => delivery::on_receipt(shared, receipt),
         Wire::Unknown => {}
     }
     Ok(())
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -38,6 +38,7 @@
 use crate::peer;
 use crate::shared::Phase;
 use crate::shared::Shared;
+use crate::usage;
 
 /// In a request, a [`HandoverRequest`]; in an answer, the positions of the answered shards.
 pub const HEADER: HeaderName = HeaderName::from_static("camphorhold-handover");
@@ -363,8 +364,10 @@
     };
     let timeout = handover_request.due_in + slack;
     let shared = Rc::clone(&in_flight.shared);
+    let usage = Rc::new(usage::Call::new(&shared, &forwarded));
     let mut exchange = Box::pin(exchange(
         Rc::clone(&shared),
+        Rc::clone(&usage),
         Rc::clone(&forwarded),
         handover_request.clone(),
         group.clone(),
@@ -375,7 +378,7 @@
         return End::without_answer(group, Outcome::Failed);
     };
     in_flight.end(&result);
-    match result {
+    let end = match result {
         Ok(answer) => match answer.status() {
             StatusCode::OK => End::with_answer(&shared, group, answer, &handover_request),
             StatusCode::CONFLICT => End::without_answer(group, Outcome::Unsent),
@@ -392,7 +395,11 @@
             log::info!(request = forwarded.id(), instance = &*group.name, error:% = error; "handover to instance failed");
             End::without_answer(group, unanswered_outcome(&error))
         }
+    };
+    if end.answered.is_empty() && matches!(end.rest_outcome, Outcome::NotRun | Outcome::Unsent) {
+        usage.on_refused();
     }
+    end
 }
 
 fn unanswered_outcome(error: &http::Error) -> Outcome {
@@ -448,6 +455,7 @@
 
 async fn exchange(
     shared: Rc<Shared>,
+    usage: Rc<usage::Call>,
     forwarded: Rc<ForwardedRequest>,
     handover_request: HandoverRequest,
     group: ShardGroup,
@@ -472,6 +480,7 @@
     headers.insert(header::DEADLINE_MS, HeaderValue::from(left));
     let mut connection = peer::connect(&shared, group.address).await?;
     forwarded.sent.set(true);
+    usage.on_sent();
     let answer = connection
         .exchange_within(request, MAX_ANSWER_BYTES, &shared.read_budget)
         .await?;
--- a/instance/src/mirror.rs
+++ b/instance/src/mirror.rs
@@ -18,6 +18,7 @@
 use camphorhold_platform::store::Listing;
 
 use crate::crash_records;
+use crate::duty;
 use crate::registration;
 use crate::shared::Phase;
 use crate::shared::Shared;
@@ -91,6 +92,7 @@
         self.restore = Some(Restore::Noticed);
         self.shared.fleet.borrow_mut().on_store_restored();
         self.shared.suspects.borrow_mut().on_restored();
+        duty::on_restored(&self.shared);
     }
 
     /// Returns when [`Self::on_timer`] has to be called next.
@@ -116,7 +118,7 @@
                 for key in missing {
                     log::info!(key = &*key; "entry not written again after the restore of the store; removed");
                     self.revisions.remove(&key);
-                    self.on_removed(&key);
+                    self.on_removed(&key, None);
                 }
                 self.on_changes_applied();
             }
@@ -157,11 +159,12 @@
                 continue;
             }
             self.revisions.remove(&key);
-            self.on_removed(&key);
+            self.on_removed(&key, Some(listing.revision));
         }
         for item in &listing.items {
             self.on_item(item);
         }
+        duty::on_listed(&self.shared);
         self.on_changes_applied();
         log::info!(
             revision = listing.revision,
@@ -196,7 +199,7 @@
             Event::Removed { key, revision } => {
                 if self.revisions.get(key).is_none_or(|known| known < revision) {
                     self.revisions.remove(key);
-                    self.on_removed(key);
+                    self.on_removed(key, Some(*revision));
                 }
             }
         }
@@ -229,11 +232,15 @@
                 crash_records::on_item(&self.shared, fingerprint, value, item.revision);
             }
             Key::RolloutSpec(service) => self.on_rollout(service, value),
+            Key::UsageHolder | Key::UsageEpoch | Key::UsageReport => {
+                duty::on_item(&self.shared, item);
+            }
             Key::RolloutStatus(_) | Key::Other => {}
         }
     }
 
-    fn on_removed(&mut self, key: &str) {
+    /// Applies that an item is gone, since that revision if it is known.
+    fn on_removed(&mut self, key: &str, revision: Option<u64>) {
         let now = self.shared.now();
         self.passed_over.remove(key);
         match Key::parse(key) {
@@ -257,6 +264,9 @@
                     .set_excluded_version(service, None);
             }
             Key::Crashes(fingerprint) => crash_records::on_removed(&self.shared, fingerprint),
+            key @ (Key::UsageHolder | Key::UsageEpoch | Key::UsageReport) => {
+                duty::on_removed(&self.shared, key, revision);
+            }
             Key::Configuration | Key::RolloutStatus(_) | Key::Other => {}
         }
     }
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -21,6 +21,8 @@
 
 use crate::crash_records;
 use crate::datagram;
+use crate::delivery;
+use crate::duty;
 use crate::exposition;
 use crate::follower::Follower;
 use crate::mirror::Mirror;
@@ -28,6 +30,7 @@
 use crate::registration;
 use crate::release;
 use crate::reload::SettingsFile;
+use crate::report;
 use crate::request::Source;
 use crate::server;
 use crate::server::Connections;
@@ -139,6 +142,12 @@
         crash_records::run(Rc::clone(&state))
     });
     let state = Rc::clone(&shared);
+    spawn("duty", move || duty::run(Rc::clone(&state)));
+    let state = Rc::clone(&shared);
+    spawn("usage delivery", move || delivery::run(Rc::clone(&state)));
+    let state = Rc::clone(&shared);
+    spawn("usage report", move || report::run(Rc::clone(&state)));
+    let state = Rc::clone(&shared);
     spawn("probe", move || probe::run(Rc::clone(&state)));
     let state = Rc::clone(&shared);
     let readiness = Rc::new(readiness);
@@ -256,5 +265,6 @@
     while connections.len() > 0 && !shutdown.is_over(shared.now()) {
         tokio::time::sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
+    delivery::deliver(shared);
     log::info!(in_progress = shared.in_progress.get(), connections = connections.len(); "stopped");
 }
--- a/instance/src/release.rs
+++ b/instance/src/release.rs
@@ -16,7 +16,6 @@
 
 /// The first version that checks the keys of customers, proves to other instances which configuration
 /// is the latest one, and sends them the usage of customers.
-#[expect(dead_code, reason = "used once proofs and usage are sent")]
 pub const CUSTOMERS: u32 = 4;
 
 /// Publishes the release in the metrics.
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -52,6 +52,7 @@
 use crate::relay;
 use crate::shared::Shared;
 use crate::tokens;
+use crate::usage;
 
 /// Headers that are not forwarded: the hop-by-hop ones, and `Expect`, because the instance reads
 /// the whole body before it calls a leaf.
@@ -209,6 +210,7 @@
         uri: origin_form(&head.uri),
         headers: end_to_end(head.headers),
         customer: None,
+        usage: usage::Tracker::new(origin.source),
         body,
         sent: Cell::new(false),
         deadline,
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -36,6 +36,7 @@
 use tokio::sync::Notify;
 
 use crate::pool::Pool;
+use crate::usage;
 
 /// The number of instances, and of their failure domains, assumed until the registrations have been
 /// read from the store.
@@ -154,6 +155,8 @@
     pub answers_due: Notify,
     /// The number of requests in progress, handovers from other instances included.
     pub in_progress: Cell<usize>,
+    /// The usage of customers and the duty of reporting it.
+    pub usage: usage::State,
     profiles: RefCell<HashMap<Box<str>, RouteProfile>>,
     splits: RefCell<HashMap<Box<str>, Split>>,
     random: RefCell<SmallRng>,
@@ -174,6 +177,7 @@
         let instances = Instances::new(settings.name.clone(), settings.domain.clone());
         let retry_budgets = RetryBudgets::new(settings.bounds.retries, INITIAL_INSTANCES, now);
         let read_bytes = settings.memory_bytes / READ_MEMORY_DIVISOR;
+        let usage = usage::State::new(&settings, &*clock);
         Self {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -205,6 +209,7 @@
             answers_due_at: Cell::new(None),
             answers_due: Notify::new(),
             in_progress: Cell::new(0),
+            usage,
             profiles: RefCell::default(),
             splits: RefCell::default(),
             random: RefCell::new(SmallRng::from_os_rng()),
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -31,6 +31,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use nix::sys::signal::Signal;
+use serde_json::Value;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -161,8 +162,30 @@
         name: &str,
         domain: &str,
     ) -> Self {
+        Self::start_changed(platform, program, name, domain, |_| {}).await
+    }
+
+    /// Starts an instance as [`Self::start`] does, with changed settings.
+    pub async fn start_with<F>(platform: &Platform, name: &str, domain: &str, change: F) -> Self
+    where
+        F: Fn(&mut Value),
+    {
+        Self::start_changed(platform, Path::new(program()), name, domain, change).await
+    }
+
+    async fn start_changed<F>(
+        platform: &Platform,
+        program: &Path,
+        name: &str,
+        domain: &str,
+        change: F,
+    ) -> Self
+    where
+        F: Fn(&mut Value),
+    {
         loop {
-            let mut instance = Self::spawn(program, name, domain, platform.store.address());
+            let store = platform.store.address();
+            let mut instance = Self::spawn(program, name, domain, store, &change);
             match instance.wait_until_ready().await {
                 Ok(()) => return instance,
                 Err(not_ready) if not_ready.is_address_in_use() => {
@@ -173,18 +196,22 @@
         }
     }
 
-    fn spawn(program: &Path, name: &str, domain: &str, store: SocketAddr) -> Self {
+    fn spawn<F>(program: &Path, name: &str, domain: &str, store: SocketAddr, change: F) -> Self
+    where
+        F: Fn(&mut Value),
+    {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let log = format!("camphorhold-test-{}-{number}.log", std::process::id());
         let log = std::env::temp_dir().join(log);
-        let process = Process::start(ProcessConfig {
+        let config = ProcessConfig {
             program: program.into(),
             name: name.into(),
             domain: domain.into(),
             store,
             log: Some(log.clone()),
-        });
+        };
+        let process = Process::start_with(config, change);
         Self {
             process: process.unwrap(),
             log,
@@ -217,7 +244,7 @@
         let unused = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let store = unused.local_addr().unwrap();
         drop(unused);
-        let instance = Self::spawn(Path::new(program()), name, domain, store);
+        let instance = Self::spawn(Path::new(program()), name, domain, store, |_| {});
         let peers = instance.process.peer_address();
         wait_until("the instance accepts connections", || async {
             TcpStream::connect(peers).await.is_ok()
--- a/lib/src/coordination/serving/instances.rs
+++ b/lib/src/coordination/serving/instances.rs
@@ -18,6 +18,7 @@
 //! Therefore the answer to a handover names the instances that have just failed the answering one,
 //! and two such reports have the effect of a failure of one's own.
 
+mod candidates;
 mod instance;
 mod readers;
 mod relay;
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod alarms;
 pub mod concurrency_limit;
+pub mod duty;
 pub mod fanout;
 pub mod fleet;
 pub mod instances;
@@ -16,10 +17,12 @@
 pub mod shutdown;
 pub mod split;
 pub mod suspects;
+pub mod usage;
 pub mod watch;
 
 pub use self::alarms::Alarms;
 pub use self::concurrency_limit::ConcurrencyLimits;
+pub use self::duty::Duty;
 pub use self::fanout::Fanout;
 pub use self::fleet::Fleet;
 pub use self::instances::Instances;
--- a/lib/src/transport/http.rs
+++ b/lib/src/transport/http.rs
@@ -118,6 +118,29 @@
             .map_err(|_| Error::ConnectTimeout)?
             .map_err(Error::Connect)?;
         configure(&stream, options).map_err(Error::Connect)?;
+        Self::start(stream).await
+    }
+
+    /// Connects to a server as [`Self::open`] does. When the connection is dropped, it is reset, so
+    /// that bytes which are not delivered yet are discarded.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Self::open`].
+    pub async fn open_with_reset(address: SocketAddr, options: TcpOptions) -> Result<Self, Error> {
+        let connecting = TcpStream::connect(address);
+        let stream = tokio::time::timeout(options.connect_timeout, connecting)
+            .await
+            .map_err(|_| Error::ConnectTimeout)?
+            .map_err(Error::Connect)?;
+        SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .and_then(|()| configure(&stream, options))
+            .map_err(Error::Connect)?;
+        Self::start(stream).await
+    }
+
+    async fn start(stream: TcpStream) -> Result<Self, Error> {
         let (stream, head_allowance) = head_limit::Stream::new(stream);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
--- a/testutils/src/platform/mod.rs
+++ b/testutils/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod leaf;
 pub mod process;
 pub mod store;
+pub mod usage;
 
 use serde_json::Value;
 use serde_json::json;
--- a/testutils/src/platform/process.rs
+++ b/testutils/src/platform/process.rs
@@ -60,6 +60,18 @@
     /// Returns an error if no port is available, if the settings file cannot be written, or if the
     /// program cannot be started.
     pub fn start(config: ProcessConfig) -> std::io::Result<Self> {
+        Self::start_with(config, |_| {})
+    }
+
+    /// Starts the program as [`Self::start`] does, with changed settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Self::start`].
+    pub fn start_with<F>(config: ProcessConfig, change: F) -> std::io::Result<Self>
+    where
+        F: FnOnce(&mut Value),
+    {
         let [callers, readiness, peers, metrics] = free_ports()?;
         let settings = json!({
             "node_name": config.name,
@@ -84,7 +96,7 @@
             file: path,
             child: None,
         };
-        process.change_settings(|_| {})?;
+        process.change_settings(change)?;
         process.restart()?;
         Ok(process)
     }
--- a/testutils/src/platform/store.rs
+++ b/testutils/src/platform/store.rs
@@ -1,5 +1,5 @@
 //! The platform's store: items with revisions, ranges in pages, watches, conditional changes.
-//! Leases end only when a test ends them.
+//! Leases end only when a test ends them, or lets them expire.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -42,6 +42,9 @@
 /// The lifetime of all leases, as the store states it.
 const LEASE_MS: u64 = 60_000;
 
+/// How often it is checked whether leases have expired.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The largest number of changes in one answer to a watch.
 const MAX_WATCH_CHANGES: usize = 250;
 
@@ -92,8 +95,12 @@
     compacted: u64,
     fault: Fault,
     calls: u64,
+    writes: u64,
     lost_watches: u64,
     leases: BTreeSet<u64>,
+    // Whether leases expire, and then when each does and its lifetime.
+    leases_expire: bool,
+    expiries: BTreeMap<u64, (Instant, Duration)>,
     refuses_leases: bool,
     // How old the reads are that may be old, and when each revision was reached.
     read_age: Duration,
@@ -198,6 +205,7 @@
     pub fn end_leases(&self) {
         let mut state = self.shared.lock();
         state.leases.clear();
+        state.expiries.clear();
         let leased: Vec<String> = state
             .items
             .iter()
@@ -211,6 +219,52 @@
         self.shared.changed.send_replace(changed);
     }
 
+    /// Lets the leases that are granted from now on expire after the lifetime that was requested.
+    pub fn let_leases_expire(&self) {
+        if std::mem::replace(&mut self.shared.lock().leases_expire, true) {
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(EXPIRY_INTERVAL).await;
+                let mut state = shared.lock();
+                let now = Instant::now();
+                let is_over = |expiry: &(Instant, Duration)| expiry.0 <= now;
+                let over: Vec<u64> = state
+                    .expiries
+                    .iter()
+                    .filter(|(_, expiry)| is_over(expiry))
+                    .map(|(lease, _)| *lease)
+                    .collect();
+                for lease in &over {
+                    state.expiries.remove(lease);
+                    state.leases.remove(lease);
+                }
+                let keys: Vec<String> = state
+                    .items
+                    .iter()
+                    .filter(|(_, item)| over.contains(&item.lease))
+                    .map(|(key, _)| key.clone())
+                    .collect();
+                for key in &keys {
+                    state.change(key, None);
+                }
+                if !keys.is_empty() {
+                    let changed = (state.era, state.revision);
+                    shared.changed.send_replace(changed);
+                }
+            }
+        });
+    }
+
+    /// Returns the number of writes and of requests for a lease, without those that only read or
+    /// renew.
+    #[must_use]
+    pub fn writes(&self) -> u64 {
+        self.shared.lock().writes
+    }
+
     /// Refuses calls for new leases with 503 from now on.
     pub fn refuse_leases(&self) {
         self.shared.lock().refuses_leases = true;
@@ -260,6 +314,7 @@
         state.revision = copy.revision;
         state.items = copy.items;
         state.leases.clear();
+        state.expiries.clear();
         state.reached.push((Instant::now(), copy.revision));
         state
             .history
@@ -344,6 +399,9 @@
     let fault = {
         let mut state = shared.lock();
         state.calls += 1;
+        if matches!(path.as_str(), "/api/kv-txn" | "/api/kv-lease") {
+            state.writes += 1;
+        }
         state.fault
     };
     if fault == Fault::Refuse {
@@ -363,10 +421,10 @@
             watch(&shared, &query).await
         }
         (Method::POST, "/api/kv-txn") => change(&shared, &body),
-        (Method::POST, "/api/kv-lease") => grant(&mut shared.lock()),
+        (Method::POST, "/api/kv-lease") => grant(&mut shared.lock(), &body),
         (Method::POST, path) if path.starts_with("/api/kv-keep/") => {
             let lease = path["/api/kv-keep/".len()..].parse().unwrap_or(0);
-            if shared.lock().leases.contains(&lease) {
+            if renew(&mut shared.lock(), lease) {
                 (StatusCode::OK, json!({"ttl_ms": LEASE_MS}))
             } else {
                 (StatusCode::NOT_FOUND, json!({}))
@@ -486,12 +544,29 @@
     (StatusCode::OK, value)
 }
 
-fn grant(state: &mut State) -> (StatusCode, Value) {
+/// Renews a lease. Returns whether it exists.
+fn renew(state: &mut State, lease: u64) -> bool {
+    if let Some((until, lifetime)) = state.expiries.get_mut(&lease) {
+        *until = Instant::now() + *lifetime;
+    }
+    state.leases.contains(&lease)
+}
+
+fn grant(state: &mut State, body: &[u8]) -> (StatusCode, Value) {
     if state.refuses_leases {
         return (StatusCode::SERVICE_UNAVAILABLE, json!({}));
     }
     let lease = state.calls;
     state.leases.insert(lease);
+    if state.leases_expire {
+        let body = serde_json::from_slice::<Value>(body).unwrap_or_default();
+        let ttl = body["ttl_ms"].as_u64().unwrap_or(LEASE_MS);
+        let lifetime = Duration::from_millis(ttl);
+        state
+            .expiries
+            .insert(lease, (Instant::now() + lifetime, lifetime));
+        return (StatusCode::OK, json!({"lease": lease, "ttl_ms": ttl}));
+    }
     (StatusCode::OK, json!({"lease": lease, "ttl_ms": LEASE_MS}))
 }
 
