--- a/instance/src/delivery.rs
+++ b/instance/src/delivery.rs
@@ -58,7 +58,11 @@
     loop {
         shared.usage.update(&*shared.clock);
         deliver(&shared);
-        tokio::time::sleep(INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(INTERVAL) => {}
+            // There may be a new holder.
+            () = shared.usage.changed.notified() => {}
+        }
     }
 }
 
@@ -67,12 +71,9 @@
 pub fn deliver(shared: &Shared) {
     let usage = &shared.usage;
     let holder = usage.duty.borrow().holder().cloned();
-    let is_own = usage
-        .duty
-        .borrow()
-        .held_epoch(shared.clock.since_boot())
-        .is_some();
-    let target = holder.filter(|_| !is_own).and_then(|holder| {
+    let own_name = &shared.settings.name;
+    let others = holder.filter(|holder| holder.name != *own_name);
+    let target = others.and_then(|holder| {
         let instances = shared.instances.borrow();
         let address = instances.address(&holder.name, release::CUSTOMERS)?;
         Some((holder.epoch, address))
--- a/instance/src/report.rs
+++ b/instance/src/report.rs
@@ -9,6 +9,7 @@
 use camphorhold::coordination::serving::duty::RenewalOutcome;
 use camphorhold::coordination::serving::duty::Right;
 use camphorhold::coordination::serving::usage::WindowId;
+use camphorhold::coordination::serving::usage::counts::WindowCounts;
 use camphorhold::coordination::serving::usage::report::Action;
 use camphorhold::coordination::serving::usage::report::Finalized;
 use camphorhold::coordination::serving::usage::report::Ledger;
@@ -115,9 +116,7 @@
     let mut store: Option<(Epoch, Store)> = None;
     loop {
         let now = shared.clock.since_boot();
-        let right = shared.usage.duty.borrow().right(now);
-        let Some(right) = right else {
-            store = None;
+        let Some(right) = usable_right(&shared) else {
             tokio::time::sleep(INTERVAL).await;
             continue;
         };
@@ -169,14 +168,16 @@
     metrics::counter!("camphorhold_usage_reports_total", "outcome" => outcome).increment(reports);
 }
 
-/// Returns once this instance no longer has the right to act in this epoch.
+/// Returns the right to act, unless it ends before it is looked up again.
+fn usable_right(shared: &Shared) -> Option<Right> {
+    let now = shared.clock.since_boot();
+    let right = shared.usage.duty.borrow().right(now);
+    right.filter(|right| right.deadline > now + 2 * RIGHT_CHECK_INTERVAL)
+}
+
+/// Returns just before this instance no longer has the right to act in this epoch.
 async fn end_of_right(shared: &Shared, epoch: Epoch) {
-    loop {
-        let now = shared.clock.since_boot();
-        let right = shared.usage.duty.borrow().right(now);
-        if right.is_none_or(|right| right.epoch != epoch) {
-            return;
-        }
+    while usable_right(shared).is_some_and(|right| right.epoch == epoch) {
         tokio::time::sleep(RIGHT_CHECK_INTERVAL).await;
     }
 }
@@ -185,7 +186,7 @@
     let write = {
         let collection = shared.usage.collection.borrow();
         let counts = shared.usage.counts.borrow();
-        let own = counts.get(window).map(|own| own.by_customer());
+        let own = counts.get(window).map(WindowCounts::by_customer);
         let total = collection.total(window, own);
         shared
             .usage
@@ -210,6 +211,7 @@
             for item in &items {
                 duty::on_item(shared, item);
             }
+            shared.usage.reporter.borrow_mut().on_write_failed(now);
         }
         Err(StoreError::Restored(era)) => {
             log::warn!(window = window.0, era:% = era; "the store was restored from a copy; giving the usage duty up");
@@ -281,9 +283,7 @@
         let request = report.to_request(address)?;
         let mut connection = usage::connect(address).await?;
         // The right may have ended while the connection was established.
-        let now = shared.clock.since_boot();
-        let right = shared.usage.duty.borrow().right(now);
-        if right.is_none_or(|right| right.epoch != report.epoch) {
+        if usable_right(shared).is_none_or(|right| right.epoch != report.epoch) {
             return Ok(None);
         }
         shared.usage.reporter.borrow_mut().on_post(window);
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -155,8 +155,7 @@
     if origin.source == Source::Instance && request.headers().contains_key(tokens::HEADER) {
         return tokens::serve(&shared, request).await;
     }
-    let plan = shared.wait_for_plan().await;
-    let Some(plan) = plan else {
+    let Some(plan) = shared.wait_for_plan().await else {
         log::info!(request = request_id(request.headers()); "request refused: no configuration yet");
         return if origin.source == Source::Caller {
             refuse(Duration::from_millis(100))
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "not every test file needs every helper")]
 
 pub mod recorder;
+pub mod usage;
 
 use std::net::SocketAddr;
 use std::path::Path;
--- a/lib/src/coordination/serving/duty.rs
+++ b/lib/src/coordination/serving/duty.rs
@@ -475,12 +475,8 @@
 
     fn acquire(&mut self, mut term: Term, revision: u64, now: Duration) {
         let lease = wait(self.times.lease.max(term.grant.lifetime));
-        // An earlier process of this name may have acted until this one started, and a holder that
-        // has not noticed a restore acts until its lease ends.
+        // An earlier process of this name may have acted until this one started.
         let mut act_from = (now + self.times.thaw).max(self.started + lease);
-        if let Some(restored) = self.restored {
-            act_from = act_from.max(restored + lease);
-        }
         if self.has_held && term.is_from_other {
             act_from = act_from.max(now + lease);
         }
