serving: divide the world of the duty tests by job

The store, a process and the random numbers have files of their own; nothing else changes.

Tested: serving_duty, 13 tests.

--- a/lib/tests/duty_world/mod.rs
+++ b/lib/tests/duty_world/mod.rs
@@ -1,28 +1,33 @@
 //! Processes that compete for a duty, and their store, in virtual time.
 
+mod process;
+mod random;
+mod store;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use camphorhold::coordination::serving::Duty;
 use camphorhold::coordination::serving::duty::Action;
-use camphorhold::coordination::serving::duty::Claim;
 use camphorhold::coordination::serving::duty::ClaimOutcome;
 use camphorhold::coordination::serving::duty::Epoch;
 use camphorhold::coordination::serving::duty::Grant;
-use camphorhold::coordination::serving::duty::Holder;
 use camphorhold::coordination::serving::duty::RenewalOutcome;
 use camphorhold::coordination::serving::duty::Right;
 use camphorhold::coordination::serving::duty::Times;
-use camphorhold::coordination::serving::usage::Reporter;
 use camphorhold::coordination::serving::usage::WindowId;
-use camphorhold::coordination::serving::usage::Windows;
 use camphorhold::coordination::serving::usage::counts::ByCustomer;
 use camphorhold::coordination::serving::usage::report;
-use camphorhold::coordination::serving::usage::report::Ledger;
 use camphorhold::coordination::serving::usage::report::PostOutcome;
-use camphorhold::coordination::serving::usage::report::Write;
+
+use process::Process;
+use random::Random;
+use store::Call;
+use store::Items;
+use store::Reply;
+use store::Request;
+use store::Store;
 
 const STEP: Duration = Duration::from_millis(10);
 const LEASE: Duration = Duration::from_secs(3);
@@ -37,220 +42,6 @@
 /// The true time at the start, since the start of 1970.
 const UNIX: Duration = Duration::from_secs(1_000_000);
 
-/// Random numbers by the generator `SplitMix64`.
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
-    }
-
-    fn below(&mut self, limit: u64) -> u64 {
-        self.next() % limit
-    }
-
-    fn chance(&mut self, of_thousand: u64) -> bool {
-        self.below(1_000) < of_thousand
-    }
-
-    fn millis(&mut self, limit: u64) -> Duration {
-        Duration::from_millis(self.below(limit))
-    }
-}
-
-#[derive(Clone)]
-struct Items {
-    revision: u64,
-    holder: Option<(Holder, u64, u64)>,
-    epoch: Option<(Epoch, Box<str>, u64)>,
-    ledger: Option<(Ledger, u64)>,
-}
-
-/// The store. Its clock is the true one.
-struct Store {
-    era: u64,
-    items: Items,
-    leases: BTreeMap<u64, Duration>,
-    next_lease: u64,
-}
-
-#[derive(Clone)]
-enum Request {
-    Grant,
-    Claim(Claim),
-    Renew(u64),
-    Read,
-    Finalize(Write),
-}
-
-enum Reply {
-    Granted(u64),
-    Written(u64),
-    Refused,
-    Renewed,
-    Gone,
-    Items(Box<Items>),
-}
-
-impl Store {
-    fn expire(&mut self, now: Duration) -> bool {
-        self.leases.retain(|_, until| *until > now);
-        let is_over = self
-            .items
-            .holder
-            .as_ref()
-            .is_some_and(|(_, _, lease)| *lease != 0 && !self.leases.contains_key(lease));
-        if is_over {
-            self.items.holder = None;
-            self.items.revision += 1;
-        }
-        is_over
-    }
-
-    fn execute(&mut self, request: &Request, now: Duration) -> Reply {
-        match request {
-            Request::Grant => {
-                self.next_lease += 1;
-                self.leases.insert(self.next_lease, now + LEASE);
-                Reply::Granted(self.next_lease)
-            }
-            Request::Claim(claim) => {
-                let holder = self.items.holder.as_ref().map_or(0, |holder| holder.1);
-                let epoch = self.items.epoch.as_ref().map_or(0, |epoch| epoch.2);
-                if holder != claim.expected_holder || epoch != claim.expected_epoch {
-                    return Reply::Refused;
-                }
-                if !self.leases.contains_key(&claim.lease) {
-                    return Reply::Refused;
-                }
-                self.items.revision += 1;
-                let revision = self.items.revision;
-                let new = claim.holder.clone();
-                self.items.epoch = Some((new.epoch, new.name.clone(), revision));
-                self.items.holder = Some((new, revision, claim.lease));
-                Reply::Written(revision)
-            }
-            Request::Renew(lease) => match self.leases.get_mut(lease) {
-                Some(until) => {
-                    *until = now + LEASE;
-                    Reply::Renewed
-                }
-                None => Reply::Gone,
-            },
-            Request::Read => Reply::Items(Box::new(self.items.clone())),
-            Request::Finalize(write) => {
-                let revision = self.items.ledger.as_ref().map_or(0, |ledger| ledger.1);
-                if revision != write.expected {
-                    return Reply::Refused;
-                }
-                self.items.revision += 1;
-                self.items.ledger = Some((write.ledger.clone(), self.items.revision));
-                Reply::Written(self.items.revision)
-            }
-        }
-    }
-}
-
-struct Call {
-    request: Request,
-    /// When it was sent, by the sender's clock.
-    sent: Duration,
-    answer_at: Duration,
-    /// The era of the answer with what the store says; `None` if it is lost.
-    reply: Option<(u64, Reply)>,
-    // When the store carries it out, unless it is lost before.
-    executes_at: Option<Duration>,
-}
-
-struct Process {
-    name: &'static str,
-    // Local time is true time times this, in parts of 10,000, plus the offset.
-    speed: u32,
-    offset: Duration,
-    duty: Duty,
-    reporter: Reporter,
-    era: u64,
-    call: Option<Call>,
-    // Calls of the report, beside those of the duty.
-    write: Option<Call>,
-    suspended_until: Duration,
-    cut_until: Duration,
-    // Snapshots of the store with the times at which they arrive.
-    watch: VecDeque<(Duration, u64, Items)>,
-    next_act: Duration,
-    seen: Option<Items>,
-}
-
-impl Process {
-    fn start(name: &'static str, random: &mut Random, now: Duration) -> Self {
-        let speed = 9_900 + u32::try_from(random.below(200)).unwrap();
-        let offset = random.millis(1_000_000);
-        let local = offset + now * speed / 10_000;
-        let unix = UNIX + now;
-        let windows = Windows::new(WINDOW);
-        Self {
-            name,
-            speed,
-            offset,
-            duty: Duty::new(name.into(), TIMES, local),
-            reporter: Reporter::new(windows, DELAY, unix),
-            era: 0,
-            call: None,
-            write: None,
-            suspended_until: now,
-            cut_until: now,
-            watch: VecDeque::new(),
-            next_act: now,
-            seen: None,
-        }
-    }
-
-    fn local(&self, now: Duration) -> Duration {
-        self.offset + now * self.speed / 10_000
-    }
-
-    fn apply(&mut self, era: u64, items: &Items, now: Duration, unix: Duration) {
-        if era > self.era {
-            if self.era > 0 {
-                self.duty.on_restored(now);
-                self.reporter.on_restored(unix);
-            }
-            self.era = era;
-            self.seen = None;
-        }
-        if era < self.era
-            || self
-                .seen
-                .as_ref()
-                .is_some_and(|seen| seen.revision > items.revision)
-        {
-            return;
-        }
-        self.apply_items(items, now);
-        let seen = self.seen.replace(items.clone());
-        if items.holder.is_none() && seen.is_none_or(|seen| seen.holder.is_some()) {
-            self.duty.on_holder_removed(Some(items.revision), now);
-        }
-        self.duty.on_listed(now);
-    }
-
-    fn apply_items(&mut self, items: &Items, now: Duration) {
-        if let Some((holder, revision, _)) = &items.holder {
-            self.duty.on_holder(holder.clone(), *revision, now);
-        }
-        if let Some((epoch, name, revision)) = &items.epoch {
-            self.duty.on_epoch(*epoch, name.clone(), *revision);
-        }
-        if let Some((ledger, revision)) = &items.ledger {
-            self.reporter.on_ledger(ledger.clone(), *revision);
-        }
-    }
-}
-
 /// The last time that something was done under a name.
 struct Act {
     at: Duration,
