--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -37,6 +37,7 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::shared::Shared;
+use crate::usage;
 
 /// The longest accepted body of a leaf's answer to a request for one service. A longer one fails the
 /// call.
@@ -75,7 +76,6 @@
     /// the key, and with the name of the customer.
     pub headers: HeaderMap,
     /// The customer that the caller's key belongs to; `None` if the route needs no key.
-    #[expect(dead_code, reason = "read once usage is counted")]
     pub customer: Option<std::sync::Arc<str>>,
     /// The priority of the customer, or of the route if the customer has none.
     #[expect(dead_code, reason = "read once requests are admitted by priority")]
@@ -87,6 +87,8 @@
     /// Whether a leaf or another instance may have received the request. Set just before the first
     /// bytes are sent.
     pub sent: Cell<bool>,
+    /// Counts the request for its customer.
+    pub usage: usage::Tracker,
 }
 
 impl ForwardedRequest {
@@ -229,7 +231,8 @@
     call: LeafCall,
     mut in_flight: InFlight,
 ) -> End {
-    let result = exchange(&shared, &forwarded, call).await;
+    let usage = usage::Call::new(&shared, &forwarded);
+    let result = exchange(&shared, &forwarded, call, &usage).await;
     let latency = shared.now().saturating_duration_since(in_flight.started);
     let (call_error, answer) = match result {
         Ok((answer, attribution)) => {
@@ -268,6 +271,9 @@
         Some(CallError::NotConnected) => (Outcome::Unsent, CallResult::Disconnected),
         Some(CallError::ConnectionLost) => (Outcome::Lost, CallResult::Disconnected),
     };
+    if matches!(outcome, Outcome::NotRun | Outcome::Unsent) {
+        usage.on_refused();
+    }
     if outcome == Outcome::Answered {
         shared.record_latency(&forwarded.route, latency);
         metrics::histogram!("camphorhold_leaf_call_seconds").record(latency.as_secs_f64());
@@ -416,6 +422,7 @@
     shared: &Rc<Shared>,
     forwarded: &ForwardedRequest,
     call: LeafCall,
+    usage: &usage::Call,
 ) -> Result<(Response<Bytes>, Attribution), http::Error> {
     let leaf = call.leaf;
     let target = shared.fleet.borrow().get(leaf).map(|leaf| {
@@ -443,6 +450,7 @@
     let left = call.deadline.saturating_duration_since(shared.now());
     let request = build_request(forwarded, &id, left);
     forwarded.sent.set(true);
+    usage.on_sent();
     let limit = match forwarded.route.target {
         Target::Shards(_) => MAX_PART_BYTES,
         Target::Service(_) | Target::Split(_) => MAX_ANSWER_BYTES,
--- a/instance/src/datagram.rs
+++ b/instance/src/datagram.rs
@@ -20,12 +20,15 @@
 use thiserror::Error;
 use tokio::net::UdpSocket;
 
+use crate::delivery;
+use crate::delivery::WireReceipt;
+use crate::delivery::WireUsage;
 use crate::freshness;
 use crate::release;
 use crate::shared::Shared;
 
 /// The longest accepted datagram. They have some 80 bytes; later releases may add fields.
-const MAX_BYTES: usize = 512;
+pub const MAX_BYTES: usize = 512;
 
 /// How many senders of invalid datagrams are logged.
 const MAX_LOGGED_SENDERS: usize = 100;
@@ -39,11 +42,13 @@
 /// A datagram, as sent in JSON.
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
-enum Wire {
+pub enum Wire {
     Confirmation(WireConfirmation),
     Alarm(WireAlarm),
     Challenge(WireChallenge),
     ChallengeAnswer(WireChallengeAnswer),
+    Usage(WireUsage),
+    UsageReceipt(WireReceipt),
     // A kind that a later release has added.
     #[serde(other)]
     Unknown,
@@ -51,7 +56,7 @@
 
 /// What a current read of the store has shown.
 #[derive(Debug, Deserialize, Serialize)]
-struct WireConfirmation {
+pub struct WireConfirmation {
     revision: u64,
     // Absent if the store states none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -62,7 +67,7 @@
 
 /// Asks a reader to answer once it has a proof from a read that it sends after this.
 #[derive(Debug, Deserialize, Serialize)]
-struct WireChallenge {
+pub struct WireChallenge {
     challenge: u64,
     // The sender gets no proofs from its readers.
     #[serde(default)]
@@ -72,7 +77,7 @@
 /// The sender's configuration was the latest one at the time of a read that it sent after it had
 /// received the challenge.
 #[derive(Debug, Deserialize, Serialize)]
-struct WireChallengeAnswer {
+pub struct WireChallengeAnswer {
     challenge: u64,
     version: u64,
     // Absent if the store states none.
@@ -82,7 +87,7 @@
 
 /// What is suspected of a request.
 #[derive(Debug, Deserialize, Serialize)]
-struct WireAlarm {
+pub struct WireAlarm {
     fingerprint: Box<str>,
     level: WireLevel,
 }
@@ -188,7 +193,8 @@
     send(shared, &others, &Wire::Alarm(alarm));
 }
 
-fn send(shared: &Shared, others: &[SocketAddr], datagram: &Wire) {
+/// Sends a datagram to these addresses, as far as the socket takes it.
+pub fn send(shared: &Shared, others: &[SocketAddr], datagram: &Wire) {
     let bytes = match serde_json::to_vec(datagram) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -213,6 +219,8 @@
         Wire::Alarm(_) => "alarm",
         Wire::Challenge(_) => "challenge",
         Wire::ChallengeAnswer(_) => "challenge_answer",
+        Wire::Usage(_) => "usage",
+        Wire::UsageReceipt(_) => "usage_receipt",
         Wire::Unknown => "unknown",
     };
     metrics::counter!("camphorhold_datagrams_total", "kind" => kind, "outcome" => outcome)
@@ -305,6 +313,8 @@
                 freshness::on_answer(shared, answer.challenge, answer.version);
             }
         }
+        Wire::Usage(usage) => delivery::on_usage(shared, usage, sender),
+        Wire::UsageReceipt(receipt) => delivery::on_receipt(shared, receipt),
         Wire::Unknown => {}
     }
     Ok(())
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -54,6 +54,7 @@
 use crate::relay;
 use crate::shared::Shared;
 use crate::tokens;
+use crate::usage;
 
 /// Headers that are not forwarded: the hop-by-hop ones, and `Expect`, because the instance reads
 /// the whole body before it calls a leaf.
@@ -222,6 +223,7 @@
         headers,
         customer: identity.customer,
         priority: identity.priority,
+        usage: usage::Tracker::new(origin.source),
         body,
         sent: Cell::new(false),
         deadline,
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -38,6 +38,7 @@
 
 use crate::feed::Feed;
 use crate::pool::Pool;
+use crate::usage;
 
 /// The number of instances, and of their failure domains, assumed until the registrations have been
 /// read from the store.
@@ -162,6 +163,8 @@
     pub answers_due: Notify,
     /// The number of requests in progress, handovers from other instances included.
     pub in_progress: Cell<usize>,
+    /// The usage of customers and the duty of reporting it.
+    pub usage: usage::State,
     profiles: RefCell<HashMap<Box<str>, RouteProfile>>,
     splits: RefCell<HashMap<Box<str>, Split>>,
     random: RefCell<SmallRng>,
@@ -182,6 +185,7 @@
         let instances = Instances::new(settings.name.clone(), settings.domain.clone());
         let retry_budgets = RetryBudgets::new(settings.bounds.retries, INITIAL_INSTANCES, now);
         let read_bytes = settings.memory_bytes / READ_MEMORY_DIVISOR;
+        let usage = usage::State::new(&settings, &*clock);
         Self {
             bounds: Cell::new(settings.bounds),
             feed: Feed::new(settings.memory_bytes),
@@ -216,6 +220,7 @@
             answers_due_at: Cell::new(None),
             answers_due: Notify::new(),
             in_progress: Cell::new(0),
+            usage,
             profiles: RefCell::default(),
             splits: RefCell::default(),
             random: RefCell::new(SmallRng::from_os_rng()),
