freshness: test a restore of the store under strict revocation

A key that was taken away must not come back with a copy that still has it, and requests with other keys must be served again once the configuration was written again.

With configurations of any other version accepted and no wait after a restore, the new test fails: the key answers 200.

--- a/instance/tests/revocation.rs
+++ b/instance/tests/revocation.rs
@@ -141,6 +141,43 @@
     }
 }
 
+/// Guards against a key that was taken away and works again because the store was restored from a copy
+/// that still has it, and against requests that stay refused after that.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_taken_away_does_not_come_back_with_a_copy_of_the_store() {
+    let (platform, instances) = start(2, REVOCATION_TIME).await;
+    let copy = platform.store.copy();
+    configure(&platform, 3, &["another"]);
+    let other_key = [("x-camphorhold-key", "another")];
+    for instance in &instances {
+        wait_until("the key is refused", || async {
+            send(instance, "refused", "/once/x").await.status() == StatusCode::UNAUTHORIZED
+        })
+        .await;
+    }
+    let before = runs(&platform, "refused");
+    platform.store.restore(copy);
+    for instance in &instances {
+        wait_until("the restore is noticed", || async {
+            let answer = send(instance, "refused", "/once/x").await;
+            assert_ne!(answer.status(), StatusCode::OK);
+            instance.counter("camphorhold_store_restores_total").await > 0
+        })
+        .await;
+    }
+    configure(&platform, 3, &["another"]);
+    for instance in &instances {
+        wait_until("proofs hold again", || async {
+            let answer = send(instance, "refused", "/once/x").await;
+            assert_ne!(answer.status(), StatusCode::OK);
+            let answer = instance.send_with("other", "/once/x", &other_key).await;
+            answer.expect("an answer").status() == StatusCode::OK
+        })
+        .await;
+    }
+    assert_eq!(runs(&platform, "refused"), before);
+}
+
 /// Guards against requests that are refused by an instance that has just read the configuration.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_works_as_soon_as_an_instance_is_ready() {
