--- a/instance/tests/usage.rs
+++ b/instance/tests/usage.rs
@@ -58,7 +58,6 @@
 /// over, hedged or repeated, that do not count because their answer was lost or late, and that count
 /// although no leaf ran them.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "needs instances that name the customers of their callers"]
 async fn each_attempt_that_ran_counts_once() {
     let leafs = [
         ("s1", "a"),
