instance: test what clients hold on a small machine

Cause: clients that send large bodies and stop short of the end made a process run out of memory. Nothing bounds bodies, heads, unread answers and connections together.

Both bounds have to hold at the peak (VmHWM, /proc/PID/fd), the process has to live, and one ordinary request has to be answered while the clients hold their connections and after they close them.

The stand-in of a leaf gets long answers.

--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -370,6 +370,26 @@
         result.unwrap();
     }
 
+    /// Changes the memory and the descriptors of the machine in the settings file, which hold from the
+    /// next start on.
+    pub fn set_machine_limits(&mut self, memory_mb: usize, max_descriptors: usize) {
+        let result = self.process.change_settings(|settings| {
+            settings["limits"] =
+                serde_json::json!({"memory_mb": memory_mb, "max_fds": max_descriptors});
+        });
+        result.unwrap();
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.process.id().unwrap()
+    }
+
+    /// Returns whether the process has not ended.
+    pub fn is_alive(&mut self) -> bool {
+        self.process.exit_status().unwrap().is_none()
+    }
+
     /// Makes the settings file invalid, without a signal to the process.
     pub fn invalidate_settings(&mut self) {
         let result = self
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -33,6 +33,8 @@
     Answer,
     /// It runs each request and answers after this time.
     Slow(Duration),
+    /// It runs and answers each request, with a body of that many bytes.
+    Large(usize),
     /// It runs each request and never answers. The connection stays open until the caller closes
     /// it.
     Hang,
@@ -436,6 +438,12 @@
         let answer = leaf.answer(&id);
         match behaviour {
             Behaviour::Answer => stream.write_all(&answer).await?,
+            Behaviour::Large(bytes) => {
+                let framing = format!("Content-Length: {bytes}");
+                let head = answer_head(&leaf.id, &id, &framing);
+                let answer = [head.into_bytes(), vec![b'.'; bytes]].concat();
+                stream.write_all(&answer).await?;
+            }
             Behaviour::Slow(time) => {
                 tokio::time::sleep(time).await;
                 stream.write_all(&answer).await?;
