serving: bound what clients make an instance hold

Cause: each request had limits, but all of them together had none. Clients that stop short of the end of a body or head, do not read their answers or only connect, used up the memory and the descriptors of the machine.

When one is used up, the connection that has held the most for the longest without progress (1 KiB) is closed; one whose whole request the instance has is not. If only such ones are left, a new body is refused as not run: 503, or 409 to another instance. Bodies are collected in segments, and read buffers stay at 8 KiB. The ports for readiness checks and metrics are in the account.

--- a/instance/src/answer.rs
+++ b/instance/src/answer.rs
@@ -224,7 +224,11 @@
 
 /// Returns a response to a request that was not read to its end, so that the connection closes.
 pub fn closing_response(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = empty_response(status);
+    close_after(empty_response(status))
+}
+
+/// Returns a response after which the connection closes.
+pub fn close_after(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(CONNECTION, close);
     response
--- a/instance/src/exposition.rs
+++ b/instance/src/exposition.rs
@@ -1,18 +1,18 @@
 //! Serves the metrics over HTTP in the Prometheus text format.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use camphorhold::coordination::serving::memory_account::Port;
+use camphorhold::transport::client::Account;
 use http_body_util::Full;
 use hyper::Response;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+use crate::own_port;
 use crate::server;
 
 /// Upper bounds of the latency buckets, in seconds. They cover the latency objectives of 60 to
@@ -47,7 +47,7 @@
 
 /// Serves the metrics at `address`, on every path, until the process ends. If the address cannot be
 /// listened on, logs a warning and returns: the instance runs without serving metrics.
-pub async fn serve(address: SocketAddr, handle: PrometheusHandle) {
+pub async fn serve(address: SocketAddr, handle: PrometheusHandle, clients: Account) {
     let listener = match server::listen(address) {
         Ok(listener) => listener,
         Err(error) => {
@@ -55,25 +55,6 @@
             return;
         }
     };
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(error:% = error; "cannot accept a connection for metrics; trying again after a pause");
-                tokio::time::sleep(server::ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let handle = handle.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |_| {
-                let body = Full::new(Bytes::from(handle.render()));
-                std::future::ready(Ok::<_, Infallible>(Response::new(body)))
-            });
-            let connection = server::own_server().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "connection for metrics failed");
-            }
-        });
-    }
+    let respond = move |_: &_| Response::new(Full::new(Bytes::from(handle.render())));
+    own_port::serve(&listener, clients, Port::Metrics, respond).await;
 }
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -1,8 +1,10 @@
 //! `camphorhold-instance` runs one instance of the query tier on the users' platform.
 
+mod activity;
 mod alarm;
 mod answer;
 mod call;
+mod client_report;
 mod crash_records;
 mod crashes;
 mod datagram;
@@ -13,6 +15,7 @@
 mod logging;
 mod merge;
 mod mirror;
+mod own_port;
 mod peer;
 mod pool;
 mod probe;
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use camphorhold::coordination::serving::shutdown::Shutdown;
@@ -19,11 +20,13 @@
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
+use crate::client_report::ClientReport;
 use crate::crash_records;
 use crate::datagram;
 use crate::exposition;
 use crate::follower::Follower;
 use crate::mirror::Mirror;
+use crate::own_port;
 use crate::probe;
 use crate::registration;
 use crate::release;
@@ -121,7 +124,7 @@
         callers:% = settings.caller_address;
         "started"
     );
-    let shared = Rc::new(Shared::new(settings, Box::new(SystemClock)));
+    let shared = Rc::new(Shared::new(settings, Arc::new(SystemClock)));
     let connections = Rc::new(Connections::default());
     let mirror = Rc::new(RefCell::new(Mirror::new(Rc::clone(&shared))));
     let state = Rc::clone(&shared);
@@ -143,7 +146,7 @@
     let state = Rc::clone(&shared);
     let readiness = Rc::new(readiness);
     spawn("readiness", move || {
-        server::serve_readiness(Rc::clone(&state), Rc::clone(&readiness))
+        own_port::serve_readiness(Rc::clone(&state), Rc::clone(&readiness))
     });
     let accept_tasks = [
         ("callers", callers, Source::Caller),
@@ -166,8 +169,9 @@
     spawn("metrics upkeep", move || {
         exposition::maintain(handle.clone())
     });
+    let clients = shared.clients.clone();
     spawn("metrics", move || {
-        exposition::serve(metrics.0, metrics.1.clone())
+        exposition::serve(metrics.0, metrics.1.clone(), clients.clone())
     });
     let state = Rc::clone(&shared);
     let open = Rc::clone(&connections);
@@ -211,6 +215,7 @@
 }
 
 async fn sweep(shared: Rc<Shared>, connections: Rc<Connections>) {
+    let mut client_report = ClientReport::default();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = shared.now();
@@ -225,6 +230,7 @@
         drop(fleet);
         let limits = shared.plan.borrow().as_ref().map(|plan| plan.limits());
         connections.sweep(limits, now);
+        client_report.publish(&shared.clients);
         if let Some(age) = shared.watch.borrow().confirmation_age(now) {
             metrics::gauge!("camphorhold_store_confirmation_age_seconds").set(age.as_secs_f64());
         }
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -17,6 +17,7 @@
 use camphorhold::state::plan::Route;
 use camphorhold::state::plan::Target;
 use camphorhold::transport::body;
+use camphorhold::transport::client::Connection;
 use camphorhold_platform::header;
 use http_body_util::Full;
 use hyper::HeaderMap;
@@ -37,6 +38,7 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
 
+use crate::answer::close_after;
 use crate::answer::closing_response;
 use crate::answer::empty_response;
 use crate::answer::refuse;
@@ -104,6 +106,9 @@
 /// When callers that are refused by a stopping instance should try again. Others can serve them.
 const STOPPING_PAUSE: Duration = Duration::from_millis(10);
 
+/// When callers should try again for which there is no memory. A body takes about as long.
+const NO_MEMORY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Who sent a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -149,10 +154,11 @@
     shared: Rc<Shared>,
     request: Request<Incoming>,
     mut origin: Origin,
+    client: &Connection,
 ) -> Response<Full<Bytes>> {
     let _in_progress = InProgress::new(&shared);
     if origin.source == Source::Instance && request.headers().contains_key(tokens::HEADER) {
-        return tokens::serve(&shared, request).await;
+        return tokens::serve(&shared, request, client).await;
     }
     let plan = shared.wait_for_plan().await;
     let Some(plan) = plan else {
@@ -194,11 +200,11 @@
     let role = handover::role(&head.headers);
     let wait = caller_wait(&head.headers).unwrap_or(route.timeout);
     let deadline = origin.arrived + wait.min(route.timeout);
-    let reading = body::read(body, plan.limits().body_bytes, None);
+    let reading = body::read_request(body, plan.limits().body_bytes, client);
     let body = match tokio::time::timeout_at(deadline.into(), reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(body::Error::TooLong)) => return closing_response(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(body::Error::Broken(_))) => return closing_response(StatusCode::BAD_REQUEST),
+        Ok(Err(body::Error::Refused(_))) => return refuse_client(&shared, origin.source),
+        Ok(Err(error)) => return refuse_body(&error),
         Err(_) => {
             log::info!(request = request_id(&head.headers), route = &*route.name; "request refused: its body did not arrive in time");
             return closing_response(StatusCode::REQUEST_TIMEOUT);
@@ -251,6 +257,26 @@
     end.respond_to_instance(&shared, &plan, &forwarded, origin, &handover_request)
 }
 
+fn refuse_body(error: &body::Error) -> Response<Full<Bytes>> {
+    closing_response(match error {
+        body::Error::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        body::Error::Broken(_) => StatusCode::BAD_REQUEST,
+        body::Error::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
+    })
+}
+
+/// Refuses a request that was not started because of what clients make this instance hold. Its rest is
+/// not read, so the connection closes.
+pub fn refuse_client(shared: &Shared, source: Source) -> Response<Full<Bytes>> {
+    metrics::counter!("camphorhold_requests_total", "outcome" => "no_memory").increment(1);
+    log::debug!(config_version = shared.plan_version(); "request refused: no memory for its client");
+    let response = match source {
+        Source::Caller => refuse(NO_MEMORY_PAUSE),
+        Source::Instance | Source::Relay => relay::refusal(),
+    };
+    close_after(response)
+}
+
 /// Answers a request of a caller, which may have been relayed by another instance.
 async fn serve_caller(
     shared: &Rc<Shared>,
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -1,22 +1,21 @@
-//! Accepts the connections of callers, of other instances and of the load balancer's readiness
-//! checks, and closes those that stay idle.
+//! Accepts the connections of callers and of other instances, and closes those that stay idle or hold
+//! too much.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Context;
-use std::task::Poll;
-use std::task::ready;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use camphorhold::coordination::serving::memory_account::Port;
 use camphorhold::state::plan::Limits;
-use camphorhold_platform::header;
+use camphorhold::transport::client::Connection;
+use futures::FutureExt;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -27,18 +26,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use slab::Slab;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
-use tokio::io::Take;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 
+use crate::activity::Activity;
+use crate::activity::ActivityStream;
 use crate::answer::closing_response;
 use crate::answer::empty_response;
 use crate::request;
@@ -50,33 +44,9 @@
 /// The most connections that wait to be accepted, per listener.
 const BACKLOG: u32 = 1_024;
 
-/// The most bytes that are read at a time, and so the size of read buffers.
-const MAX_READ_BYTES: usize = 16 << 10;
-
-/// How much longer than the limit the head of a request may be, so that the limit may be taken as
-/// that of its header lines alone.
-const HEAD_SLACK_BYTES: usize = 1 << 10;
-
-/// The limit for the head of a request while there is no configuration.
-const DEFAULT_HEADER_BYTES: usize = 16 << 10;
-
-/// The limit for the head of a request from another instance, which has checked the request against
-/// its own configuration and has added headers.
-const PEER_HEADER_BYTES: usize = 256 << 10;
-
-/// How much of a refused request is read after the answer, and for how long. A connection that is
-/// closed with unread bytes is reset, and the caller may lose the answer.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
+/// How long the rest of a refused request is read after the answer.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
-/// The longest head of a readiness check or a request for metrics, and how long it may take. The same
-/// time ends connections without requests.
-const OWN_HEAD_BYTES: usize = 16 << 10;
-const OWN_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Ends the head of a request that is longer than permitted, so that it can be answered.
-const HEAD_END: &[u8] = b"\r\n\r\n";
-
 /// The longest time that the head of a request may take while there is no configuration.
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The longest time that a connection may stay idle while there is no configuration.
@@ -86,49 +56,6 @@
 /// core while the failure lasts.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// The state of a connection that decides when it is closed.
-#[derive(Debug)]
-struct Activity {
-    busy: Cell<bool>,
-    // When the last response was ready or, before the first one, when the connection was accepted.
-    idle_since: Cell<Instant>,
-    // When the first byte of the next request arrived; `None` while idle or busy.
-    head_since: Cell<Option<Instant>>,
-    // The bytes read since the last response was ready.
-    head_bytes: Cell<usize>,
-    // Whether the head of the request is longer than permitted. What follows is discarded.
-    head_too_long: Cell<bool>,
-    refused: Notify,
-    close: Notify,
-}
-
-impl Activity {
-    fn new(now: Instant) -> Self {
-        Self {
-            busy: Cell::new(false),
-            idle_since: Cell::new(now),
-            head_since: Cell::new(None),
-            head_bytes: Cell::new(0),
-            head_too_long: Cell::new(false),
-            refused: Notify::new(),
-            close: Notify::new(),
-        }
-    }
-
-    /// Records that the head of a request has been read. Returns when its first byte arrived.
-    fn begin(&self, now: Instant) -> Instant {
-        self.busy.set(true);
-        self.head_since.take().unwrap_or(now)
-    }
-
-    /// Records that the response is ready.
-    fn end(&self, now: Instant) {
-        self.idle_since.set(now);
-        self.head_bytes.set(0);
-        self.busy.set(false);
-    }
-}
-
 /// The open connections of callers and of other instances.
 #[derive(Debug, Default)]
 pub struct Connections {
@@ -142,12 +69,12 @@
         let header_timeout = limits.map_or(DEFAULT_HEADER_TIMEOUT, |limits| limits.header_timeout);
         let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
         for (_, activity) in self.open.borrow().iter() {
-            if activity.busy.get() {
+            if activity.is_busy() {
                 continue;
             }
-            let expired = match activity.head_since.get() {
+            let expired = match activity.head_since() {
                 Some(since) => now.saturating_duration_since(since) > header_timeout,
-                None => now.saturating_duration_since(activity.idle_since.get()) > idle_timeout,
+                None => now.saturating_duration_since(activity.idle_since()) > idle_timeout,
             };
             if expired {
                 activity.close.notify_one();
@@ -189,116 +116,6 @@
     }
 }
 
-/// A stream that records when the first byte of a request arrives, and ends heads of requests that
-/// are longer than the configuration in force permits.
-struct ActivityStream {
-    stream: Take<TcpStream>,
-    shared: Rc<Shared>,
-    activity: Rc<Activity>,
-    source: Source,
-    discarded: usize,
-}
-
-impl ActivityStream {
-    /// Reads and drops what the caller sends, until it closes the connection or has sent enough.
-    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        let mut bytes = [0; 4 << 10];
-        while self.discarded < MAX_DISCARDED_BYTES {
-            let mut buffer = ReadBuf::new(&mut bytes);
-            let stream = Pin::new(self.stream.get_mut());
-            match ready!(stream.poll_read(context, &mut buffer)) {
-                Ok(()) if !buffer.filled().is_empty() => self.discarded += buffer.filled().len(),
-                _ => break,
-            }
-        }
-        Poll::Ready(())
-    }
-
-    /// Returns the most bytes that may be read now, 0 if the head of the request is too long.
-    fn allowance(&self) -> usize {
-        if self.activity.head_too_long.get() {
-            0
-        } else if self.activity.busy.get() {
-            MAX_READ_BYTES
-        } else {
-            let limit = match (self.source, &*self.shared.plan.borrow()) {
-                (Source::Instance | Source::Relay, _) => PEER_HEADER_BYTES,
-                (Source::Caller, Some(plan)) => plan.limits().header_bytes,
-                (Source::Caller, None) => DEFAULT_HEADER_BYTES,
-            };
-            let rest = (limit + HEAD_SLACK_BYTES).saturating_sub(self.activity.head_bytes.get());
-            rest.min(MAX_READ_BYTES)
-        }
-    }
-}
-
-impl AsyncRead for ActivityStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let allowance = self.allowance();
-        if allowance == 0 {
-            if self.activity.head_too_long.replace(true) || buffer.remaining() < HEAD_END.len() {
-                // An end of the stream would end the connection before the answer.
-                return Poll::Pending;
-            }
-            self.activity.refused.notify_one();
-            buffer.put_slice(HEAD_END);
-            return Poll::Ready(Ok(()));
-        }
-        self.stream.set_limit(allowance as u64);
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let received = buffer.filled().len() - before;
-        let activity = &self.activity;
-        if received > 0 && !activity.busy.get() {
-            activity
-                .head_bytes
-                .set(activity.head_bytes.get() + received);
-            if activity.head_since.get().is_none() {
-                activity.head_since.set(Some(self.shared.now()));
-            }
-        }
-        result
-    }
-}
-
-impl AsyncWrite for ActivityStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(self.stream.get_mut()).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(self.stream.get_mut()).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.get_ref().is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(self.stream.get_mut()).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(self.stream.get_mut()).poll_shutdown(context))?;
-        if self.activity.head_too_long.get() {
-            ready!(self.poll_discard(context));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
 /// Listens on an IPv4 address. The address may still have connections of an earlier process in
 /// `TIME_WAIT`.
 ///
@@ -322,9 +139,24 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let task =
-                    serve_connection(Rc::clone(&shared), Rc::clone(&connections), stream, source);
+                let port = match source {
+                    Source::Caller => Port::Callers,
+                    Source::Instance | Source::Relay => Port::Instances,
+                };
+                let Ok((client, closes_another)) = shared.clients.open(port) else {
+                    // All connections have a request in progress. The port stays in use by those.
+                    drop(stream);
+                    tokio::task::yield_now().await;
+                    continue;
+                };
+                let activity = Rc::new(Activity::new(client, shared.now()));
+                let (shared, connections) = (Rc::clone(&shared), Rc::clone(&connections));
+                let task = serve_connection(shared, connections, stream, activity, source);
                 tokio::task::spawn_local(task);
+                if closes_another {
+                    // The other connection is closed before the next one is accepted.
+                    tokio::task::yield_now().await;
+                }
             }
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept a connection; trying again after a pause");
@@ -338,21 +170,16 @@
     shared: Rc<Shared>,
     connections: Rc<Connections>,
     stream: TcpStream,
+    activity: Rc<Activity>,
     source: Source,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "connection closed before its first request");
         return;
     }
-    let activity = Rc::new(Activity::new(shared.now()));
     let _open = connections.open(Rc::clone(&activity));
-    let stream = ActivityStream {
-        stream: stream.take(0),
-        shared: Rc::clone(&shared),
-        activity: Rc::clone(&activity),
-        source,
-        discarded: 0,
-    };
+    let (state, recorded) = (Rc::clone(&shared), Rc::clone(&activity));
+    let stream = ActivityStream::new(stream, state, recorded, source);
     let first = Cell::new(true);
     let service = service_fn(|request| {
         let origin = Origin {
@@ -377,12 +204,17 @@
     let result = tokio::select! {
         result = connection.as_mut() => result,
         () = &mut discarded => Ok(()),
+        () = activity.client().closed() => {
+            log::debug!("connection closed because of the memory that it holds");
+            Ok(())
+        }
         () = activity.close.notified() => {
-            if activity.busy.get() || activity.head_since.get().is_none() {
+            if activity.is_busy() || activity.head_since().is_none() {
                 connection.as_mut().graceful_shutdown();
                 tokio::select! {
                     result = connection => result,
                     () = discarded => Ok(()),
+                    () = activity.client().closed() => Ok(()),
                 }
             } else {
                 // Drops the connection: the request head is incomplete, and has timed out or the
@@ -404,13 +236,16 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     // A caller that has sent many requests at once would otherwise keep the thread for all of them.
     tokio::task::coop::consume_budget().await;
-    if activity.head_too_long.get() {
+    if activity.is_head_too_long() {
         return Ok(refuse_long_head(shared));
     }
+    if activity.charge_head().is_err() {
+        return Ok(request::refuse_client(shared, origin.source));
+    }
     let answers_due = shared.answers_due.notified();
     let mut response = tokio::select! {
         biased;
-        response = request::handle(Rc::clone(shared), request, origin) => response,
+        response = request::handle(Rc::clone(shared), request, origin, activity.client()) => response,
         () = answers_due => {
             log::warn!("request ended with 504: the process is about to end");
             metrics::counter!("camphorhold_requests_total", "outcome" => "timed_out").increment(1);
@@ -423,9 +258,21 @@
         response.headers_mut().insert(CONNECTION, close);
     }
     activity.end(shared.now());
+    charge_answer(activity.client(), &mut response);
     Ok(response)
 }
 
+/// Charges the client for its answer until it has been written.
+fn charge_answer(client: &Connection, response: &mut Response<Full<Bytes>>) {
+    // The body of an answer is always complete.
+    let frame = response.body_mut().frame().now_or_never().flatten();
+    if let Some(Ok(frame)) = frame
+        && let Ok(bytes) = frame.into_data()
+    {
+        *response.body_mut() = Full::new(client.charge_answer(bytes));
+    }
+}
+
 /// Refuses a request whose head was ended at the limit. The rest of it is not read, so the connection
 /// closes.
 fn refuse_long_head(shared: &Shared) -> Response<Full<Bytes>> {
@@ -433,51 +280,3 @@
     metrics::counter!("camphorhold_requests_total", "outcome" => "head_too_long").increment(1);
     closing_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
 }
-
-/// Returns a server for the requests of the platform and the operators.
-pub fn own_server() -> http1::Builder {
-    let mut server = http1::Builder::new();
-    server
-        .timer(TokioTimer::new())
-        .header_read_timeout(OWN_HEAD_TIMEOUT)
-        .max_buf_size(OWN_HEAD_BYTES);
-    server
-}
-
-/// Answers the readiness checks of the load balancer until the process ends: 200 while the instance
-/// takes new requests, 503 while it starts or stops.
-pub async fn serve_readiness(shared: Rc<Shared>, listener: Rc<TcpListener>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let shared = Rc::clone(&shared);
-                tokio::task::spawn_local(async move {
-                    let service = service_fn(|request| {
-                        let response = readiness_response(&shared, &request);
-                        std::future::ready(Ok::<_, Infallible>(response))
-                    });
-                    let connection = own_server().serve_connection(TokioIo::new(stream), service);
-                    if let Err(error) = connection.await {
-                        log::debug!(error:% = error; "connection for readiness checks failed");
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "cannot accept a readiness check; trying again after a pause");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
-fn readiness_response(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = if request.uri().path() != header::READY_PATH {
-        StatusCode::NOT_FOUND
-    } else if shared.phase.get() == Phase::Serving {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
-    response
-}
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -18,6 +18,7 @@
 use camphorhold::coordination::serving::Suspects;
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::LeafLimits;
+use camphorhold::coordination::serving::memory_account::Limits;
 use camphorhold::coordination::serving::rate_limit::Grantor;
 use camphorhold::coordination::serving::reachability::Reachability;
 use camphorhold::coordination::serving::split::Split;
@@ -25,6 +26,7 @@
 use camphorhold::state::plan::Plan;
 use camphorhold::state::plan::Route;
 use camphorhold::state::time::Clock;
+use camphorhold::transport::client::Account;
 use camphorhold::transport::read_budget::ReadBudget;
 use camphorhold_platform::settings::Bounds;
 use camphorhold_platform::settings::Settings;
@@ -95,7 +97,7 @@
     /// The bounds in force, from the settings file as last read.
     pub bounds: Cell<Bounds>,
     /// The source of all times of the instance, except for the timers of the runtime.
-    pub clock: Box<dyn Clock>,
+    pub clock: Arc<dyn Clock>,
     /// The configuration in force; `None` until the first one has been read from the store.
     pub plan: RefCell<Option<Arc<Plan>>>,
     /// Wakes the requests that wait for the first configuration, when the instance becomes ready.
@@ -127,6 +129,8 @@
     pub suspects_lease: Cell<Option<(u64, Instant)>>,
     /// The memory for answers of leafs and instances that are being read.
     pub read_budget: ReadBudget,
+    /// What clients make the process hold.
+    pub clients: Account,
     /// Idle connections to leafs.
     pub leaf_pool: Pool<LeafKey>,
     /// Idle connections to other instances.
@@ -167,12 +171,14 @@
 
 impl Shared {
     /// Creates the state of an instance that has read its settings but nothing from the store.
-    pub fn new(settings: Settings, clock: Box<dyn Clock>) -> Self {
+    pub fn new(settings: Settings, clock: Arc<dyn Clock>) -> Self {
         let now = clock.now();
         let mut fleet = Fleet::new(settings.domain.clone());
         fleet.set_instances(INITIAL_INSTANCES, INITIAL_INSTANCES);
         let instances = Instances::new(settings.name.clone(), settings.domain.clone());
         let retry_budgets = RetryBudgets::new(settings.bounds.retries, INITIAL_INSTANCES, now);
+        let limits = Limits::of_machine(settings.memory_bytes, settings.max_descriptors);
+        let clients = Account::new(limits, Arc::clone(&clock));
         let read_bytes = settings.memory_bytes / READ_MEMORY_DIVISOR;
         Self {
             bounds: Cell::new(settings.bounds),
@@ -193,6 +199,7 @@
             suspects_lease: Cell::new(None),
             alarms: RefCell::new(Alarms::new(MAX_SUSPECTS)),
             read_budget: ReadBudget::new(read_bytes),
+            clients,
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
             datagrams: OnceCell::new(),
--- a/instance/src/tokens.rs
+++ b/instance/src/tokens.rs
@@ -20,6 +20,7 @@
 use camphorhold::coordination::serving::rate_limit::Notice;
 use camphorhold::state::rate::InvalidRate;
 use camphorhold::transport::body;
+use camphorhold::transport::client;
 use camphorhold::transport::http;
 use camphorhold::transport::http::Connection;
 use futures::StreamExt;
@@ -37,6 +38,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::answer::closing_response;
 use crate::answer::empty_response;
 use crate::peer;
 use crate::release;
@@ -414,14 +416,21 @@
 
 /// Answers a claim of another instance: 200 with the granted tokens, 400 for a body that is no
 /// claim, 409 while this instance is starting or stopping, so that the next one is asked.
-pub async fn serve(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+pub async fn serve(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    client: &client::Connection,
+) -> Response<Full<Bytes>> {
     if shared.phase.get() != Phase::Serving {
         return empty_response(StatusCode::CONFLICT);
     }
     // The claimant does not wait longer.
-    let reading = body::read(request.into_body(), MAX_BODY_BYTES, None);
-    let Ok(Ok(body)) = tokio::time::timeout(TIMEOUT, reading).await else {
-        return empty_response(StatusCode::BAD_REQUEST);
+    let reading = body::read_request(request.into_body(), MAX_BODY_BYTES, client);
+    let body = match tokio::time::timeout(TIMEOUT, reading).await {
+        Ok(Ok(body)) => body,
+        // The claimant asks another instance.
+        Ok(Err(body::Error::Refused(_))) => return closing_response(StatusCode::CONFLICT),
+        Ok(Err(_)) | Err(_) => return empty_response(StatusCode::BAD_REQUEST),
     };
     let claims = match serde_json::from_slice::<WireClaims>(&body) {
         Ok(claims) if claims.claims.len() <= MAX_CLAIMS => claims,
--- a/instance/tests/clients.rs
+++ b/instance/tests/clients.rs
@@ -158,6 +158,11 @@
     }
 }
 
+fn open_descriptors(process: u32) -> usize {
+    let open = std::fs::read_dir(format!("/proc/{process}/fd"));
+    open.map_or(0, Iterator::count)
+}
+
 /// Counts the open descriptors of a process until it is dropped.
 struct DescriptorCount {
     most: Arc<AtomicUsize>,
@@ -172,8 +177,7 @@
         let (counted, stop) = (Arc::clone(&most), Arc::clone(&ended));
         let thread = std::thread::spawn(move || {
             while !stop.load(Ordering::Relaxed) {
-                let open = std::fs::read_dir(format!("/proc/{process}/fd"));
-                counted.fetch_max(open.map_or(0, Iterator::count), Ordering::Relaxed);
+                counted.fetch_max(open_descriptors(process), Ordering::Relaxed);
                 std::thread::sleep(COUNT_INTERVAL);
             }
         });
@@ -232,11 +236,14 @@
     /// Checks that an ordinary request is answered, while the clients hold their connections and after
     /// they have closed them. Returns the peaks of the process if they exceed the limits of its machine.
     async fn check(&mut self, what: &str, clients: Vec<TcpStream>) -> Option<String> {
+        // The counting thread may not have run yet.
+        let held = open_descriptors(self.instance.id());
+        assert!(held > 0, "{what}: the descriptors are not counted");
         self.check_answer(what).await;
         drop(clients);
         self.check_answer(what).await;
         let memory = self.instance.peak_memory();
-        let descriptors = self.descriptors.most();
+        let descriptors = self.descriptors.most().max(held);
         let peaks = format!("{what}: {} KiB, {descriptors} descriptors", memory >> 10);
         eprintln!("{peaks}");
         let is_within = memory < MEMORY_MB << 20 && descriptors < MAX_DESCRIPTORS;
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -10,6 +10,7 @@
 pub mod fanout;
 pub mod fleet;
 pub mod instances;
+pub mod memory_account;
 pub mod rate_limit;
 pub mod reachability;
 pub mod retry_budget;
--- a/lib/src/transport/http.rs
+++ b/lib/src/transport/http.rs
@@ -83,7 +83,8 @@
 impl From<body::Error> for Error {
     fn from(error: body::Error) -> Self {
         match error {
-            body::Error::TooLong => Self::TooLong,
+            // Only the bodies of requests are refused.
+            body::Error::TooLong | body::Error::Refused(_) => Self::TooLong,
             body::Error::Broken(error) => Self::from_read(error),
         }
     }
@@ -183,7 +184,7 @@
                 })?;
             allowance.lift();
             let (head, body) = response.into_parts();
-            let body = body::read(body, limit, Some(budget)).await?;
+            let body = body::read(body, limit, budget).await?;
             Ok(Response::from_parts(head, body))
         });
         let driver = &mut self.driver;
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers, to other instances and to the key-value service.
 
 pub mod body;
+pub mod client;
 pub(crate) mod head_limit;
 pub mod http;
 pub mod leaf;
