soak: begin requests that are never finished

Whether a run of it finds the fault on the code before was not tried: it has the memory of a whole machine.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,12 +4,13 @@
 //! Each seed determines one [`schedule`] of faults. The [`world`] starts the stand-ins of the store
 //! and the leafs, the [`instances`], and a [`proxy`](camphorhold_testutils::proxy) on each link from an instance to the store and
 //! on the link to each leaf, and then applies the schedule. Meanwhile each [`caller`] sends
-//! requests. Afterwards [`check`] compares their outcomes with the requests that the leafs ran. The
+//! requests, and a [`client`] begins some that it does not finish. Afterwards [`check`] compares their outcomes with the requests that the leafs ran. The
 //! instances have no disk and base no decision on the time of day, so the soak disturbs neither
 //! storage nor clocks.
 
 mod caller;
 mod check;
+mod client;
 mod instances;
 mod schedule;
 mod world;
@@ -34,8 +35,8 @@
     pub length: Duration,
     /// How many instances run side by side.
     pub instances: usize,
-    /// Whether the store may be restored from copies, and leafs may name limits. Seeds that found
-    /// faults before these existed run without.
+    /// Whether the store may be restored from copies, leafs may name limits, and a client holds
+    /// unfinished requests. Seeds that found faults before these existed run without.
     pub additional: bool,
     /// The folder for the logs of the instances, one file each. `None` discards them.
     pub logs: Option<PathBuf>,
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -36,6 +36,7 @@
 use crate::check::Limited;
 use crate::check::Span;
 use crate::check::Violation;
+use crate::client;
 use crate::instances::Instances;
 use crate::instances::POLL_INTERVAL;
 use crate::instances::now;
@@ -135,6 +136,9 @@
         );
         callers.spawn_local(run);
     }
+    if options.additional {
+        callers.spawn_local(client::run(options.seed, Rc::clone(&addresses)));
+    }
     let restarting =
         tokio::task::spawn_local(Rc::clone(&world.instances).restart_unexpected_exits());
     let mut faults = JoinSet::new();
