transport: take statuses outside 200 to 599 for malformed answers

Cause: the HTTP library accepts any three digits from 100 on, and 101 as an answer; whatever is not a success was delivered to the caller, so 600 and 999 were. Answers that are no HTTP counted as lost connections, as if the leaf might have ended.

Change: one check in transport/http.rs, which leafs, other instances and the store are read with. A malformed answer is a failed call: another leaf if the request may be repeated, otherwise 502. It no longer counts as a lost connection, so it does not make a request suspect. An interim head (100, 102 to 199) without a head after it is still waited for: it promises one.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -169,6 +169,9 @@
     /// The answer, or all answers that are being read together, exceeded the size limit.
     #[error("answer too long")]
     TooLong,
+    /// The answer is no HTTP, or its status is not between 200 and 599.
+    #[error("answer malformed")]
+    Malformed,
 }
 
 /// Reports the result of a call to the fleet. A call whose future is dropped counts as abandoned.
@@ -243,6 +246,7 @@
                     CallError::NotConnected
                 }
                 http::Error::Lost(_) => CallError::ConnectionLost,
+                http::Error::Malformed => CallError::Malformed,
                 http::Error::TooLong => {
                     metrics::counter!("camphorhold_oversized_answers_total").increment(1);
                     CallError::TooLong
@@ -258,9 +262,12 @@
         Some(CallError::Status(status)) if blames_request(status, answer.as_ref()) => {
             (Outcome::Rejected, CallResult::Failed)
         }
-        Some(CallError::WrongRequest | CallError::Status(_) | CallError::TooLong) => {
-            (Outcome::Failed, CallResult::Failed)
-        }
+        Some(
+            CallError::WrongRequest
+            | CallError::Status(_)
+            | CallError::TooLong
+            | CallError::Malformed,
+        ) => (Outcome::Failed, CallResult::Failed),
         Some(CallError::NotConnected) => (Outcome::Unsent, CallResult::Disconnected),
         Some(CallError::ConnectionLost) => (Outcome::Lost, CallResult::Disconnected),
     };
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -400,7 +400,7 @@
         http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_) => {
             Outcome::Unsent
         }
-        http::Error::Lost(_) | http::Error::TooLong => Outcome::Failed,
+        http::Error::Lost(_) | http::Error::TooLong | http::Error::Malformed => Outcome::Failed,
     }
 }
 
--- a/instance/src/relay.rs
+++ b/instance/src/relay.rs
@@ -120,7 +120,7 @@
     Silent,
     /// The caller stops waiting.
     TimedOut,
-    /// The connection was lost, or the answer is too long.
+    /// The connection was lost, or the answer is too long or malformed.
     Lost(http::Error),
 }
 
@@ -161,7 +161,9 @@
         Err(http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_)) => {
             Reply::NotTaken
         }
-        Err(error @ (http::Error::Lost(_) | http::Error::TooLong)) => Reply::Lost(error),
+        Err(error @ (http::Error::Lost(_) | http::Error::TooLong | http::Error::Malformed)) => {
+            Reply::Lost(error)
+        }
     }
 }
 
--- a/lib/src/transport/http.rs
+++ b/lib/src/transport/http.rs
@@ -37,6 +37,10 @@
 /// signature of some 40 bytes for each of a thousand shards.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// The statuses of answers. The HTTP library takes three digits from 100 on, and drops interim heads,
+/// other than that of 101, which nobody asks for.
+const VALID_STATUS: std::ops::Range<u16> = 200..600;
+
 /// TCP options and time-outs by which a connection detects that its peer does not respond.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TcpOptions {
@@ -68,12 +72,18 @@
     /// together are.
     #[error("the answer is longer than permitted")]
     TooLong,
+    /// The head of the answer is no HTTP, or its status is not valid. The server may have run the
+    /// request.
+    #[error("the answer is malformed")]
+    Malformed,
 }
 
 impl Error {
     fn from_read(error: hyper::Error) -> Self {
         if error.is_parse_too_large() {
             Self::TooLong
+        } else if error.is_parse() {
+            Self::Malformed
         } else {
             Self::Lost(error)
         }
@@ -184,6 +194,9 @@
                 })?;
             allowance.lift();
             let (head, body) = response.into_parts();
+            if !VALID_STATUS.contains(&head.status.as_u16()) {
+                return Err(Error::Malformed);
+            }
             let body = body::read(body, limit, budget).await?;
             Ok(Response::from_parts(head, body))
         });
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -147,7 +147,7 @@
             Outcome::Answered(answer)
         }
         Ok(Err(Error::Unsent(_) | Error::Connect(_) | Error::ConnectTimeout)) => Outcome::Unsent,
-        Ok(Err(Error::Lost(_) | Error::TooLong)) => Outcome::Lost,
+        Ok(Err(Error::Lost(_) | Error::TooLong | Error::Malformed)) => Outcome::Lost,
         Err(_) => Outcome::Silent,
     }
 }
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -40,6 +40,8 @@
     Hang,
     /// It runs the request and answers with this error status.
     Fail(u16),
+    /// It runs the request and answers as usual, but with this status line.
+    StatusLine(&'static str),
     /// It runs the request and closes the connection without an answer.
     Lose,
     /// It runs each request and sends its answer twice in a row.
@@ -444,6 +446,10 @@
                 let answer = [head.into_bytes(), vec![b'.'; bytes]].concat();
                 stream.write_all(&answer).await?;
             }
+            Behaviour::StatusLine(line) => {
+                let answer = String::from_utf8_lossy(&answer).replacen("HTTP/1.1 200 OK", line, 1);
+                stream.write_all(answer.as_bytes()).await?;
+            }
             Behaviour::Slow(time) => {
                 tokio::time::sleep(time).await;
                 stream.write_all(&answer).await?;
