--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use camphorhold::coordination::serving::shutdown::Shutdown;
@@ -19,6 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
+use crate::client_report::ClientReport;
 use crate::crash_records;
 use crate::datagram;
 use crate::delivery;
@@ -27,6 +29,7 @@
 use crate::follower::Follower;
 use crate::freshness;
 use crate::mirror::Mirror;
+use crate::own_port;
 use crate::probe;
 use crate::registration;
 use crate::release;
@@ -125,7 +128,7 @@
         callers:% = settings.caller_address;
         "started"
     );
-    let shared = Rc::new(Shared::new(settings, Box::new(SystemClock)));
+    let shared = Rc::new(Shared::new(settings, Arc::new(SystemClock)));
     let connections = Rc::new(Connections::default());
     let mirror = Rc::new(RefCell::new(Mirror::new(Rc::clone(&shared))));
     let state = Rc::clone(&shared);
@@ -155,7 +158,7 @@
     let state = Rc::clone(&shared);
     let readiness = Rc::new(readiness);
     spawn("readiness", move || {
-        server::serve_readiness(Rc::clone(&state), Rc::clone(&readiness))
+        own_port::serve_readiness(Rc::clone(&state), Rc::clone(&readiness))
     });
     let accept_tasks = [
         ("callers", callers, Source::Caller),
@@ -178,8 +181,9 @@
     spawn("metrics upkeep", move || {
         exposition::maintain(handle.clone())
     });
+    let clients = shared.clients.clone();
     spawn("metrics", move || {
-        exposition::serve(metrics.0, metrics.1.clone())
+        exposition::serve(metrics.0, metrics.1.clone(), clients.clone())
     });
     let state = Rc::clone(&shared);
     let open = Rc::clone(&connections);
@@ -224,6 +228,7 @@
 
 async fn sweep(shared: Rc<Shared>, connections: Rc<Connections>) {
     let mut is_proven = false;
+    let mut client_report = ClientReport::default();
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = shared.now();
@@ -239,6 +244,7 @@
         let limits = shared.plan.borrow().as_ref().map(|plan| plan.limits());
         connections.sweep(limits, now);
         freshness::report(&shared, &mut is_proven);
+        client_report.publish(&shared.clients);
         if let Some(age) = shared.watch.borrow().confirmation_age(now) {
             metrics::gauge!("camphorhold_store_confirmation_age_seconds").set(age.as_secs_f64());
         }
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod instances;
+pub mod memory_account;
 pub mod rate_limit;
 pub mod reachability;
 pub mod retry_budget;
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -33,11 +33,15 @@
     Answer,
     /// It runs each request and answers after this time.
     Slow(Duration),
+    /// It runs and answers each request, with a body of that many bytes.
+    Large(usize),
     /// It runs each request and never answers. The connection stays open until the caller closes
     /// it.
     Hang,
     /// It runs the request and answers with this error status.
     Fail(u16),
+    /// It runs the request and answers as usual, but with this status line.
+    StatusLine(&'static str),
     /// It runs the request and closes the connection without an answer.
     Lose,
     /// It runs each request and sends its answer twice in a row.
@@ -440,6 +444,16 @@
         let answer = leaf.answer(&id);
         match behaviour {
             Behaviour::Answer => stream.write_all(&answer).await?,
+            Behaviour::Large(bytes) => {
+                let framing = format!("Content-Length: {bytes}");
+                let head = answer_head(&leaf.id, &id, &framing);
+                let answer = [head.into_bytes(), vec![b'.'; bytes]].concat();
+                stream.write_all(&answer).await?;
+            }
+            Behaviour::StatusLine(line) => {
+                let answer = String::from_utf8_lossy(&answer).replacen("HTTP/1.1 200 OK", line, 1);
+                stream.write_all(answer.as_bytes()).await?;
+            }
             Behaviour::Slow(time) => {
                 tokio::time::sleep(time).await;
                 stream.write_all(&answer).await?;
