instance: test that the duty is taken over after a restore of the store

The copy holds the item of the holder without its lease, so it would stay for ever. With processes the case had no test.

The new one fails if items of an earlier era are not replaced.

--- a/instance/tests/duty.rs
+++ b/instance/tests/duty.rs
@@ -13,6 +13,7 @@
 use std::net::UdpSocket;
 
 use camphorhold_testutils::platform::usage::Fault;
+use camphorhold_testutils::platform::usage::Report;
 use camphorhold_testutils::platform::usage::Usage;
 use serde_json::Value;
 use serde_json::json;
@@ -212,3 +213,24 @@
     assert!(instance.gauge("camphorhold_duty_holder").await == 0.0);
     assert_eq!(item(&platform, HOLDER_KEY).unwrap()["name"], "2");
 }
+
+/// Guards against a duty that stays with an item whose lease is gone, and against an epoch that falls,
+/// after a restore of the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn after_a_restore_the_duty_is_taken_over_in_the_new_era() {
+    let (platform, usage, _instances) = start_three().await;
+    wait_for_reports(&usage, None, 2).await;
+    let copy = platform.store.copy();
+    let before = usage.reports().len();
+    wait_for_reports(&usage, None, before + 2).await;
+    let highest = usage.reports().last().unwrap().epoch;
+    platform.store.restore(copy);
+    wait_until("reports have an epoch of the new era", || async {
+        let reports = usage.reports();
+        let is_new = |report: &&Report| report.epoch > 1 << 32;
+        reports.iter().filter(is_new).count() >= 2
+    })
+    .await;
+    assert!(highest < 1 << 32);
+    check(&usage.reports());
+}
