instance: wait until a relaying instance knows its second target

a_request_relayed_to_a_silent_instance_is_answered_by_another_one failed once beside a load of 12 to 15: request 0 got 503. The test copied the registrations of both targets into the store of the instance that is cut off, and waited until one of them had answered. The instance pauses 0.9 s between two readings of changes, so it may not have known the other one yet when the first was stopped.

--- a/instance/tests/cut_off.rs
+++ b/instance/tests/cut_off.rs
@@ -96,6 +96,17 @@
         }
     }
 
+    /// Waits until the instance that is to be cut off knows another one.
+    async fn wait_until_known(&self, name: &str) {
+        let name = format!(r#""instance":"{name}""#);
+        wait_until("the instance is known", || async {
+            let log = self.cut_off.log();
+            log.lines()
+                .any(|line| line.contains("instance registered") && line.contains(&name))
+        })
+        .await;
+    }
+
     fn set_links(&self, fault: LinkFault) {
         for link in &self.links {
             link.set(fault);
@@ -234,6 +245,7 @@
     let mut deployment = Deployment::start().await;
     let _third = Instance::start(&deployment.platform, "3", "b").await;
     deployment.exchange_registrations(2).await;
+    deployment.wait_until_known("3").await;
     deployment.set_links(LinkFault::Down);
     wait_until("another instance answers", || {
         deployment.is_answered("relayed", "/all/x")
@@ -260,6 +272,7 @@
     let mut deployment = Deployment::start().await;
     let _third = Instance::start(&deployment.platform, "3", "b").await;
     deployment.exchange_registrations(2).await;
+    deployment.wait_until_known("3").await;
     deployment.set_links(LinkFault::Down);
     wait_until("another instance answers", || {
         deployment.is_answered("relayed", "/all/x")
