instance: count connections to leafs and instances among the descriptors

Cause: clients with complete requests make an instance open connections to leafs, which the account of clients did not hold. Without descriptors every leaf looks unreachable and no caller can connect.

Change: connections that the instance opens itself get the descriptors that the ports leave. A gauge with its high-water mark and counters as for the ports, under the name outgoing.

--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -15,6 +15,7 @@
 mod logging;
 mod merge;
 mod mirror;
+mod outgoing;
 mod own_port;
 mod peer;
 mod pool;
--- a/lib/src/coordination/serving/memory_account.rs
+++ b/lib/src/coordination/serving/memory_account.rs
@@ -86,15 +86,19 @@
     Readiness,
     /// The port for metrics.
     Metrics,
+    /// No port: connections that the instance opens itself, to leafs and other instances. They are
+    /// never closed for others.
+    Outgoing,
 }
 
 impl Port {
     /// All ports.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::Callers,
         Self::Instances,
         Self::Readiness,
         Self::Metrics,
+        Self::Outgoing,
     ];
 
     /// Returns the name in metrics.
@@ -105,6 +109,7 @@
             Self::Instances => "instances",
             Self::Readiness => "readiness",
             Self::Metrics => "metrics",
+            Self::Outgoing => "outgoing",
         }
     }
 }
@@ -115,7 +120,7 @@
     /// The bytes of each share, in the order of [`Share::ALL`].
     pub bytes: [usize; 3],
     /// The connections at each port, in the order of [`Port::ALL`].
-    pub connections: [usize; 4],
+    pub connections: [usize; 5],
 }
 
 impl Limits {
@@ -131,14 +136,12 @@
             .saturating_sub(FILE_DESCRIPTORS)
             .max(max_descriptors / 4);
         let own = (sockets / 16).clamp(2, MAX_OWN_CONNECTIONS);
+        let callers = (in_memory * 2 / 3).min(sockets * 3 / 8).max(2);
+        let instances = (in_memory / 3).min(sockets / 4).max(2);
+        let outgoing = sockets.saturating_sub(callers + instances + 2 * own).max(2);
         Self {
             bytes: [bytes / 8, bytes / 4, bytes / 8],
-            connections: [
-                (in_memory * 2 / 3).min(sockets * 3 / 8).max(2),
-                (in_memory / 3).min(sockets / 4).max(2),
-                own,
-                own,
-            ],
+            connections: [callers, instances, own, own, outgoing],
         }
     }
 }
@@ -251,7 +254,7 @@
     limits: Limits,
     connections: SlotMap<ConnectionKey, Connection>,
     shares: [Usage; 3],
-    ports: [Usage; 4],
+    ports: [Usage; 5],
 }
 
 impl MemoryAccount {
@@ -262,7 +265,7 @@
             limits,
             connections: SlotMap::with_key(),
             shares: [Usage::default(); 3],
-            ports: [Usage::default(); 4],
+            ports: [Usage::default(); 5],
         }
     }
 
@@ -278,6 +281,12 @@
         self.ports[port as usize]
     }
 
+    /// Returns whether a port has no connection left.
+    #[must_use]
+    pub fn is_full(&self, port: Port) -> bool {
+        self.ports[port as usize].remaining >= self.limits.connections[port as usize]
+    }
+
     /// Adds a connection. Returns the connection that has to be closed for it, if there are too many.
     ///
     /// # Errors
@@ -290,7 +299,7 @@
         now: Instant,
     ) -> Result<(ConnectionKey, Option<ConnectionKey>), Refused> {
         let mut close = None;
-        if self.ports[port as usize].remaining >= self.limits.connections[port as usize] {
+        if self.is_full(port) {
             let Some(key) = self.longest_unused(port, now) else {
                 self.ports[port as usize].refused += 1;
                 return Err(Refused);
@@ -303,7 +312,11 @@
         let key = self.connections.insert(Connection {
             port,
             held: [0; 3],
-            turn: Turn::Client,
+            turn: if port == Port::Outgoing {
+                Turn::Instance
+            } else {
+                Turn::Client
+            },
             progressed: now,
             transferred: 0,
             has_had_answer: false,
