serving: spare new callers among clients that send at full speed

Change: an eighth of the time for which a connection has held anything counts as time without progress, so older bodies go first. Idle connections are ordered by their idle time alone, as before.

One attempt depends on the order of tasks, so the test that stays, the_longest_body_is_served_while_others_do_not_finish_theirs, tries until it is served, and guards against memory that closed connections leave in the account.

Mutations: what closed connections hold stays in the account (that test fails after its 60 s); no part of the time with progress (of_those_that_make_progress_a_new_one_is_spared); the age of idle connections counts (of_idle_connections_the_longest_idle_is_closed).

--- a/instance/tests/clients.rs
+++ b/instance/tests/clients.rs
@@ -291,6 +291,31 @@
     check_callers(Kind::Length).await;
 }
 
+/// Guards against long bodies that are refused for good, because what closed connections held stays in
+/// the account.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_longest_body_is_served_while_others_do_not_finish_theirs() {
+    let _alone = run_alone().await;
+    let target = Target::start().await;
+    let address = target.instance.caller_address();
+    let head = format!(
+        "POST /one/x HTTP/1.1\r\nHost: q.example\r\nX-Camphorhold-Request-Id: ordinary\r\n\
+         Connection: close\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    );
+    let request = [head.as_bytes(), &vec![b'x'; BODY_BYTES]].concat();
+    let clients = target.send(address, Kind::Length, "").await;
+    wait_until("an ordinary body is served", || async {
+        let answer = target.instance.send_bytes(&request).await;
+        answer.starts_with(b"HTTP/1.1 200 ")
+    })
+    .await;
+    let runs = target.platform.leafs[0].runs();
+    let ordinary = runs.iter().filter(|run| run.request == "ordinary");
+    let lengths: Vec<usize> = ordinary.map(|run| run.body_bytes).collect();
+    assert_eq!(lengths, [BODY_BYTES]);
+    drop(clients);
+}
+
 /// Guards against chunked bodies that are held but not accounted for, as their length is unknown.
 #[tokio::test(flavor = "multi_thread")]
 async fn unfinished_bodies_in_large_chunks_stay_within_the_machine() {
--- a/lib/src/coordination/serving/memory_account.rs
+++ b/lib/src/coordination/serving/memory_account.rs
@@ -40,6 +40,10 @@
 /// nothing: it could keep what it holds with a byte a second.
 const PROGRESS_BYTES: usize = 1 << 10;
 
+/// The part of the time with progress that counts as time without, as a divisor. Small enough that a
+/// slow caller is closed long after a client that has stopped.
+const PROGRESS_DIVISOR: u32 = 8;
+
 /// How long a connection without progress counts as just opened: a caller's first request follows
 /// within a round trip.
 const FRESH_TIME: Duration = Duration::from_millis(500);
@@ -201,6 +205,8 @@
     // When the client last made progress, and the bytes since then.
     progressed: Instant,
     transferred: usize,
+    // Since when it has held anything.
+    holds_since: Instant,
     has_had_answer: bool,
     is_closing: bool,
     // Whether it has ended. It stays in the account while something of it is held.
@@ -220,9 +226,15 @@
         self.held.iter().sum()
     }
 
-    /// Returns how much it has held for how long.
+    /// Returns how much it has held for how long without progress. A part of the time with progress
+    /// counts, too: while many clients send at full speed, a new caller is not the one to close.
     fn weight(&self, bytes: usize, now: Instant) -> u128 {
-        self.stalled(now).as_micros() * bytes as u128
+        let held_for = if self.held_bytes() == 0 {
+            Duration::ZERO
+        } else {
+            now.saturating_duration_since(self.holds_since)
+        };
+        (self.stalled(now) + held_for / PROGRESS_DIVISOR).as_micros() * bytes as u128
     }
 }
 
@@ -319,6 +331,7 @@
             },
             progressed: now,
             transferred: 0,
+            holds_since: now,
             has_had_answer: false,
             is_closing: false,
             has_ended: false,
@@ -395,6 +408,9 @@
         if connection.is_closing && share != Share::Answers {
             return refused(Vec::new());
         }
+        if connection.held_bytes() == 0 {
+            connection.holds_since = now;
+        }
         connection.held[kind] += bytes;
         let is_small = connection.held[kind] <= SMALL_BYTES;
         self.shares[kind].add(bytes);
--- a/lib/tests/serving_memory_account.rs
+++ b/lib/tests/serving_memory_account.rs
@@ -102,6 +102,22 @@
     );
 }
 
+/// Guards against a caller that is closed among clients that all send at full speed, because its body
+/// has come further than theirs.
+#[test]
+fn of_those_that_make_progress_a_new_one_is_spared() {
+    let mut world = World::new();
+    let old = world.open();
+    let new = world.open();
+    assert_eq!(world.hold(old, Share::Bodies, 40_000), GRANTED);
+    world.now += ms(900);
+    assert_eq!(world.hold(new, Share::Bodies, 50_000), GRANTED);
+    world.now += ms(100);
+    world.transfer(old, 8_000);
+    world.transfer(new, 8_000);
+    assert_eq!(world.hold(new, Share::Bodies, 20_000), closes(&[old]));
+}
+
 /// Guards against connections that are closed because they hold little for long, while another one
 /// holds nearly everything.
 #[test]
@@ -252,6 +268,25 @@
     }
 }
 
+/// Guards against callers whose connections are closed because they are old, although they use them.
+#[test]
+fn of_idle_connections_the_longest_idle_is_closed() {
+    let mut world = World::new();
+    let old = world.open();
+    world.now += ms(100_000);
+    let others: Vec<_> = (0..3).map(|_| world.open()).collect();
+    for key in [others[0], others[1], others[2], old] {
+        world.now += ms(1_000);
+        world.account.on_answer(key, world.now);
+    }
+    world.now += ms(1_000);
+    let (_, close) = world
+        .account
+        .open(Port::Callers, world.now)
+        .expect("a place");
+    assert_eq!(close, Some(others[0]));
+}
+
 /// Guards against requests in progress that are lost because of new connections.
 #[test]
 fn a_port_whose_connections_are_all_in_use_refuses_more() {
