--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -36,7 +36,6 @@
 use thiserror::Error;
 use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::outgoing;
 use crate::shared::Shared;
 
 /// The longest accepted body of a leaf's answer to a request for one service. A longer one fails the
@@ -164,9 +163,6 @@
     /// No connection was established, or the connection closed before the request was sent.
     #[error("not connected")]
     NotConnected,
-    /// The instance has too many connections. Nothing was sent.
-    #[error("no connection left")]
-    NoneLeft,
     /// The request was sent, but the connection broke.
     #[error("connection lost")]
     ConnectionLost,
@@ -250,7 +246,6 @@
                     CallError::NotConnected
                 }
                 http::Error::Lost(_) => CallError::ConnectionLost,
-                http::Error::Refused(_) => CallError::NoneLeft,
                 http::Error::Malformed => CallError::Malformed,
                 http::Error::TooLong => {
                     metrics::counter!("camphorhold_oversized_answers_total").increment(1);
@@ -273,8 +268,6 @@
             | CallError::TooLong
             | CallError::Malformed,
         ) => (Outcome::Failed, CallResult::Failed),
-        // Says nothing about the leaf.
-        Some(CallError::NoneLeft) => (Outcome::Unsent, CallResult::Abandoned(latency)),
         Some(CallError::NotConnected) => (Outcome::Unsent, CallResult::Disconnected),
         Some(CallError::ConnectionLost) => (Outcome::Lost, CallResult::Disconnected),
     };
@@ -446,10 +439,8 @@
         connection
     } else {
         metrics::counter!("camphorhold_leaf_connections_total").increment(1);
-        let opened = outgoing::open(shared, address, TCP_OPTIONS).await;
-        if !matches!(opened, Err(http::Error::Refused(_))) {
-            shared.on_connect(leaf, opened.is_ok());
-        }
+        let opened = Connection::open(address, TCP_OPTIONS).await;
+        shared.on_connect(leaf, opened.is_ok());
         opened?
     };
     let left = call.deadline.saturating_duration_since(shared.now());
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -397,10 +397,9 @@
 
 fn unanswered_outcome(error: &http::Error) -> Outcome {
     match error {
-        http::Error::Connect(_)
-        | http::Error::ConnectTimeout
-        | http::Error::Refused(_)
-        | http::Error::Unsent(_) => Outcome::Unsent,
+        http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_) => {
+            Outcome::Unsent
+        }
         http::Error::Lost(_) | http::Error::TooLong | http::Error::Malformed => Outcome::Failed,
     }
 }
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -15,7 +15,6 @@
 mod logging;
 mod merge;
 mod mirror;
-mod outgoing;
 mod own_port;
 mod peer;
 mod pool;
--- a/instance/src/peer.rs
+++ b/instance/src/peer.rs
@@ -7,7 +7,6 @@
 use camphorhold::transport::http::Error;
 use camphorhold::transport::http::TcpOptions;
 
-use crate::outgoing;
 use crate::shared::Shared;
 
 const TCP_OPTIONS: TcpOptions = TcpOptions {
@@ -26,7 +25,7 @@
 pub async fn connect(shared: &Shared, address: SocketAddr) -> Result<Connection, Error> {
     match shared.peer_pool.take(address, shared.now()) {
         Some(connection) => Ok(connection),
-        None => open(shared, address).await,
+        None => open(address).await,
     }
 }
 
@@ -34,9 +33,9 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the instance does not accept the connection, or none is left.
-pub async fn open(shared: &Shared, address: SocketAddr) -> Result<Connection, Error> {
-    outgoing::open(shared, address, TCP_OPTIONS).await
+/// Returns an error if the instance does not accept the connection.
+pub async fn open(address: SocketAddr) -> Result<Connection, Error> {
+    Connection::open(address, TCP_OPTIONS).await
 }
 
 /// Keeps a connection for the next request, if it can carry one.
--- a/instance/src/pool.rs
+++ b/instance/src/pool.rs
@@ -82,21 +82,6 @@
         connections.push(Idle { connection, until });
     }
 
-    /// Closes the connection that would be closed next anyway. Returns whether there was one.
-    pub fn close_one(&self) -> bool {
-        let mut idle = self.idle.borrow_mut();
-        // The first connection to a server expires before the later ones, or soon after them.
-        let next = idle
-            .iter()
-            .filter_map(|(server, connections)| Some((connections.first()?.until, *server)))
-            .min_by_key(|(until, _)| *until);
-        let connections = next.and_then(|(_, server)| idle.get_mut(&server));
-        connections.is_some_and(|connections| {
-            connections.remove(0);
-            true
-        })
-    }
-
     /// Closes all idle connections to a server.
     pub fn close(&self, server: K) {
         self.idle.borrow_mut().remove(&server);
--- a/instance/src/relay.rs
+++ b/instance/src/relay.rs
@@ -158,12 +158,9 @@
     match result {
         Ok(answer) if is_refusal(forwarded, &answer) => Reply::NotTaken,
         Ok(answer) => Reply::Answered(answer),
-        Err(
-            http::Error::Connect(_)
-            | http::Error::ConnectTimeout
-            | http::Error::Refused(_)
-            | http::Error::Unsent(_),
-        ) => Reply::NotTaken,
+        Err(http::Error::Connect(_) | http::Error::ConnectTimeout | http::Error::Unsent(_)) => {
+            Reply::NotTaken
+        }
         Err(error @ (http::Error::Lost(_) | http::Error::TooLong | http::Error::Malformed)) => {
             Reply::Lost(error)
         }
@@ -219,7 +216,7 @@
     // As with leafs, a request that may run at most once gets a new connection.
     let mut connection = match forwarded.route.semantics {
         CallSemantics::Idempotent => peer::connect(shared, address).await?,
-        CallSemantics::AtMostOnce => peer::open(shared, address).await?,
+        CallSemantics::AtMostOnce => peer::open(address).await?,
     };
     let mut request = forwarded.to_request();
     let headers = request.headers_mut();
--- a/instance/src/tokens.rs
+++ b/instance/src/tokens.rs
@@ -14,7 +14,6 @@
 
 use bytes::Bytes;
 use camphorhold::coordination::serving::fleet::LeafKey;
-use camphorhold::coordination::serving::memory_account::Port;
 use camphorhold::coordination::serving::rate_limit::CLAIM_INTERVAL;
 use camphorhold::coordination::serving::rate_limit::Claim;
 use camphorhold::coordination::serving::rate_limit::LEASE_LIFETIME;
@@ -308,19 +307,15 @@
 }
 
 /// Returns whether an instance responds to an empty claim on a new connection within that time. It may
-/// refuse the claim. Assumes so if no connection is left to ask it.
+/// refuse the claim.
 pub async fn responds(shared: &Shared, address: SocketAddr, timeout: Duration) -> bool {
-    if shared.clients.is_full(Port::Outgoing) {
-        // It cannot be asked, which is no sign that it is silent.
-        return true;
-    }
     let message = WireClaims {
         claimant: shared.settings.name.clone(),
         claims: Vec::new(),
         notices: Vec::new(),
     };
     let exchange = async {
-        let connection = peer::open(shared, address).await?;
+        let connection = peer::open(address).await?;
         send_on(shared, address, connection, &message).await
     };
     let result = tokio::time::timeout(timeout, exchange).await;
--- a/lib/src/coordination/serving/memory_account.rs
+++ b/lib/src/coordination/serving/memory_account.rs
@@ -90,19 +90,15 @@
     Readiness,
     /// The port for metrics.
     Metrics,
-    /// No port: connections that the instance opens itself, to leafs and other instances. They are
-    /// never closed for others.
-    Outgoing,
 }
 
 impl Port {
     /// All ports.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 4] = [
         Self::Callers,
         Self::Instances,
         Self::Readiness,
         Self::Metrics,
-        Self::Outgoing,
     ];
 
     /// Returns the name in metrics.
@@ -113,7 +109,6 @@
             Self::Instances => "instances",
             Self::Readiness => "readiness",
             Self::Metrics => "metrics",
-            Self::Outgoing => "outgoing",
         }
     }
 }
@@ -124,7 +119,7 @@
     /// The bytes of each share, in the order of [`Share::ALL`].
     pub bytes: [usize; 3],
     /// The connections at each port, in the order of [`Port::ALL`].
-    pub connections: [usize; 5],
+    pub connections: [usize; 4],
 }
 
 impl Limits {
@@ -140,12 +135,14 @@
             .saturating_sub(FILE_DESCRIPTORS)
             .max(max_descriptors / 4);
         let own = (sockets / 16).clamp(2, MAX_OWN_CONNECTIONS);
-        let callers = (in_memory * 2 / 3).min(sockets * 3 / 8).max(2);
-        let instances = (in_memory / 3).min(sockets / 4).max(2);
-        let outgoing = sockets.saturating_sub(callers + instances + 2 * own).max(2);
         Self {
             bytes: [bytes / 8, bytes / 4, bytes / 8],
-            connections: [callers, instances, own, own, outgoing],
+            connections: [
+                (in_memory * 2 / 3).min(sockets * 3 / 8).max(2),
+                (in_memory / 3).min(sockets / 4).max(2),
+                own,
+                own,
+            ],
         }
     }
 }
@@ -266,7 +263,7 @@
     limits: Limits,
     connections: SlotMap<ConnectionKey, Connection>,
     shares: [Usage; 3],
-    ports: [Usage; 5],
+    ports: [Usage; 4],
 }
 
 impl MemoryAccount {
@@ -277,7 +274,7 @@
             limits,
             connections: SlotMap::with_key(),
             shares: [Usage::default(); 3],
-            ports: [Usage::default(); 5],
+            ports: [Usage::default(); 4],
         }
     }
 
@@ -293,12 +290,6 @@
         self.ports[port as usize]
     }
 
-    /// Returns whether a port has no connection left.
-    #[must_use]
-    pub fn is_full(&self, port: Port) -> bool {
-        self.ports[port as usize].remaining >= self.limits.connections[port as usize]
-    }
-
     /// Adds a connection. Returns the connection that has to be closed for it, if there are too many.
     ///
     /// # Errors
@@ -311,7 +302,7 @@
         now: Instant,
     ) -> Result<(ConnectionKey, Option<ConnectionKey>), Refused> {
         let mut close = None;
-        if self.is_full(port) {
+        if self.ports[port as usize].remaining >= self.limits.connections[port as usize] {
             let Some(key) = self.longest_unused(port, now) else {
                 self.ports[port as usize].refused += 1;
                 return Err(Refused);
@@ -324,11 +315,7 @@
         let key = self.connections.insert(Connection {
             port,
             held: [0; 3],
-            turn: if port == Port::Outgoing {
-                Turn::Instance
-            } else {
-                Turn::Client
-            },
+            turn: Turn::Client,
             progressed: now,
             transferred: 0,
             holds_since: now,
--- a/lib/src/transport/client.rs
+++ b/lib/src/transport/client.rs
@@ -79,12 +79,6 @@
         Ok((connection, close.is_some()))
     }
 
-    /// Returns whether a port has no connection left.
-    #[must_use]
-    pub fn is_full(&self, port: Port) -> bool {
-        self.lock().account.is_full(port)
-    }
-
     /// Returns the use of a share.
     #[must_use]
     pub fn share(&self, share: Share) -> Usage {
--- a/lib/src/transport/http.rs
+++ b/lib/src/transport/http.rs
@@ -29,11 +29,9 @@
 use tokio::net::TcpStream;
 
 use super::body;
-use super::client;
 use super::head_limit;
 use super::head_limit::Allowance;
 use super::read_budget::ReadBudget;
-use crate::coordination::serving::memory_account::Refused;
 
 /// The longest head of an answer, interim heads before it included. The longest proper one is that of a merged answer, with a
 /// signature of some 40 bytes for each of a thousand shards.
@@ -64,9 +62,6 @@
     /// The connection was not established within [`TcpOptions::connect_timeout`].
     #[error("timed out while connecting")]
     ConnectTimeout,
-    /// The process has too many connections.
-    #[error("no connection is left: {0}")]
-    Refused(#[from] Refused),
     /// The connection was closed before any byte of the request was sent.
     #[error("the request was not sent: {0}")]
     Unsent(#[source] hyper::Error),
@@ -112,8 +107,6 @@
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
     head_allowance: Allowance,
-    // Its place in the account of connections.
-    place: Option<client::Connection>,
 }
 
 impl std::fmt::Debug for Connection {
@@ -146,15 +139,9 @@
             sender,
             driver: Box::pin(driver),
             head_allowance,
-            place: None,
         })
     }
 
-    /// Keeps its place in the account of connections for as long as it is open.
-    pub fn set_place(&mut self, place: client::Connection) {
-        self.place = Some(place);
-    }
-
     /// Returns whether another request can be sent: the server has neither closed the connection
     /// nor sent bytes that belong to no request.
     pub fn is_usable(&mut self) -> bool {
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -146,9 +146,7 @@
             *kept = Some(connection);
             Outcome::Answered(answer)
         }
-        Ok(Err(
-            Error::Unsent(_) | Error::Connect(_) | Error::ConnectTimeout | Error::Refused(_),
-        )) => Outcome::Unsent,
+        Ok(Err(Error::Unsent(_) | Error::Connect(_) | Error::ConnectTimeout)) => Outcome::Unsent,
         Ok(Err(Error::Lost(_) | Error::TooLong | Error::Malformed)) => Outcome::Lost,
         Err(_) => Outcome::Silent,
     }
