coordination: admit queries by urgency at the owners of shards

Cause: with many instances an instance has less than one query at a time, so its concurrency limits have no effect, and leafs answer in the order of arrival.

Change: `ShardLoads` keeps, for each shard whose leafs an instance calls, a limit on the queries in progress (as the window of TCP Vegas), a bounded queue by priority, and a threshold on urgency that follows the expected wait. Hopeless queries are refused. Urgency within a priority is a hash of the request's id, so that owners refuse the same queries. `Fanout::on_handover_refused` fails a shard without a call.

--- a/lib/src/coordination/serving/fanout.rs
+++ b/lib/src/coordination/serving/fanout.rs
@@ -224,6 +224,22 @@
         self.call_or_wait(shard, context, calls);
     }
 
+    /// Handles the refusal of a shard by its owner because of its load. The shard fails unless another
+    /// call or handover of it is in progress: a call by this instance would add to the load.
+    pub fn on_handover_refused(
+        &mut self,
+        shard: usize,
+        may_have_run: bool,
+        context: &mut Context<'_>,
+    ) {
+        self.may_have_run |= may_have_run;
+        let progress = &mut self.shards[shard];
+        progress.pending_handovers = progress.pending_handovers.saturating_sub(1);
+        if progress.is_idle() {
+            self.fail(shard, context);
+        }
+    }
+
     /// Returns whether an open shard may be handed over once more, to another instance, and records
     /// it as handed over if so. The leafs may get the request twice then, so it takes a hedge from
     /// the budget.
--- a/lib/src/coordination/serving/fanout/result.rs
+++ b/lib/src/coordination/serving/fanout/result.rs
@@ -31,11 +31,22 @@
         } else {
             return None;
         };
-        Some(Verdict::GiveUp {
+        Some(self.give_up_for(reason))
+    }
+
+    /// Returns the verdict on a request that cannot get an answer because of what others have
+    /// refused.
+    #[must_use]
+    pub fn give_up(&self) -> Verdict {
+        self.give_up_for(Reason::Unavailable)
+    }
+
+    fn give_up_for(&self, reason: Reason) -> Verdict {
+        Verdict::GiveUp {
             reason,
             may_have_run: self.may_have_run || self.has_calls(),
-            coverage,
-        })
+            coverage: self.coverage(),
+        }
     }
 
     /// Returns how many shards have answered.
--- a/lib/src/coordination/serving/fleet/rest.rs
+++ b/lib/src/coordination/serving/fleet/rest.rs
@@ -1,12 +1,37 @@
-//! What leafs say about further calls: that they are leaving, or want none for a while.
+//! What leafs say about further calls: that they are leaving, or want none for a while; and how many
+//! they work on at a time.
 
 use std::time::Instant;
 
 use super::Fleet;
 use super::Leaf;
 use super::LeafKey;
+use crate::coordination::serving::shard_load::Slots;
 
 impl Fleet {
+    /// Returns the slots of the leafs of a service that may receive work. Those in this instance's
+    /// failure domain are preferred, or all if there is none.
+    #[must_use]
+    pub fn slots(&self, service: &str) -> Slots {
+        let members = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let mut slots = Slots {
+            all: 0,
+            preferred: 0,
+        };
+        let leafs = members.iter().filter_map(|key| self.leafs.get(*key));
+        for leaf in leafs.filter(|leaf| self.is_permitted(leaf)) {
+            let number = leaf.entry.slots;
+            slots.all = slots.all.saturating_add(number);
+            if leaf.local {
+                slots.preferred = slots.preferred.saturating_add(number);
+            }
+        }
+        if slots.preferred == 0 {
+            slots.preferred = slots.all;
+        }
+        slots
+    }
+
     /// Returns when the first leaf of a service takes requests again, if all that may receive work
     /// have asked for none at `now`.
     #[must_use]
--- a/lib/tests/serving_fanout.rs
+++ b/lib/tests/serving_fanout.rs
@@ -635,3 +635,31 @@
     );
     assert_eq!(world.verdict(&fanout, 20), Some(answer(1, 2)));
 }
+
+/// Guards against calls that add to the load of a shard whose owner has refused a query because of its
+/// load, and against a query that goes on when it cannot be answered any more.
+#[test]
+fn a_shard_that_its_owner_refuses_is_not_called() {
+    let mut world = World::new(&LEAFS);
+    let mut request = world.request(&["s1", "s2"]);
+    request.min_coverage = 1.0;
+    for shard in &mut request.shards {
+        shard.assignment = ShardAssignment::HandedOver;
+    }
+    let (mut fanout, calls) = Fanout::start(request, &mut world.context(0));
+    assert!(calls.is_empty());
+    for shard in [0, 1] {
+        fanout.on_handover_refused(shard, false, &mut world.context(2));
+    }
+    let not_run = |may_have_run| Verdict::GiveUp {
+        reason: Reason::Unavailable,
+        may_have_run,
+        coverage: Coverage {
+            answered: 0,
+            in_scope: 2,
+        },
+    };
+    assert_eq!(world.verdict(&fanout, 2), Some(not_run(false)));
+    fanout.on_handover_refused(1, true, &mut world.context(2));
+    assert_eq!(world.verdict(&fanout, 2), Some(not_run(true)));
+}
