instance: owners refuse shards for their load, and say so

An owner took every handover, and a caller's instance learned of a full shard only by late or missing answers.

Change: where shards have owners, an instance asks `ShardLoads` for a permit for each shard that it calls itself. A handover whose shards are all refused is answered at once with 503, and `camphorhold-refused-shards`; the instance that handed it over does not call their leafs. A query is given up when refusals leave too few shards. `camphorhold-shard-thresholds` states lowered thresholds, by which other instances refuse queries before they hand anything over. The log line of such a refusal has the field `overloaded`.

Not run: the soak, the other tests of the workspace. Shown to fail: refused shards not listed, and not skipped (an_owner_refuses_at_once…); refusals ignored by the other instance, and thresholds not recorded (queries_that_owners_refuse_are_not_run). No test covers a coordinator that passes refusals on.

--- a/instance/src/answer.rs
+++ b/instance/src/answer.rs
@@ -54,8 +54,13 @@
             .as_ref()
             .map_or(Vec::new(), |loss| loss.leafs.clone());
         let called = self.may_have_called;
+        let refused = self.refused.iter();
+        let refused: Vec<usize> = refused
+            .filter_map(|position| handover_request.shards.get(*position).copied())
+            .collect();
         let mut response = self.respond(plan, forwarded, origin);
         handover::add_answer_headers(shared, response.headers_mut(), &answered, &lost, called);
+        handover::add_load_headers(shared, forwarded, handover_request, &refused, &mut response);
         response
     }
 
--- a/instance/src/gather.rs
+++ b/instance/src/gather.rs
@@ -1,6 +1,7 @@
 //! Gathers the answers to one request: makes the calls and handovers that the fan-out decides on,
 //! and reports their outcomes to it.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -30,6 +31,9 @@
 use crate::call::ForwardedRequest;
 use crate::handover;
 use crate::handover::Query;
+use crate::shard_queue;
+use crate::shard_queue::HeldPermit;
+use crate::shard_queue::Queue;
 use crate::shared::Shared;
 
 /// How long calls whose answers are no longer needed may run on, so that their connections can be
@@ -81,6 +85,8 @@
     pub lost_leafs: usize,
     /// Whether leafs may have received the request.
     pub may_have_called: bool,
+    /// The positions of the shards that were refused because of their load.
+    pub refused: Vec<usize>,
 }
 
 /// An answer that is part of the result.
@@ -118,6 +124,10 @@
     inquiry: Option<JoinHandle<bool>>,
     // Whether leafs are known to have ended under the request.
     have_ended: bool,
+    // The permits for the shards that this instance calls, and the shards that were refused because
+    // of their load, here or elsewhere.
+    permits: HashMap<usize, HeldPermit>,
+    refused: Vec<usize>,
 }
 
 /// Hands `groups` over and makes the other calls of a request, until the fan-out reaches a verdict.
@@ -127,10 +137,14 @@
     request: fanout::Request,
     query: Query,
     groups: Vec<ShardGroup>,
+    queue: Queue,
 ) -> FinishedRequest {
     let answer_by = request.answer_by;
     let (expected, _) = shared.latency(&forwarded.route);
     let mut gathering = Gathering::start(shared, forwarded, request, groups);
+    gathering.permits = queue.permits;
+    gathering.refused = queue.refused;
+    let mut waits = queue.waits;
     let mut calls = FuturesUnordered::new();
     let mut handovers = FuturesUnordered::new();
     let timer = tokio::time::sleep_until(gathering.next_timer().into());
@@ -146,6 +160,9 @@
         if let Some(verdict) = gathering.fanout.verdict(shared.now()) {
             break verdict;
         }
+        if shard_queue::prevents_answer(forwarded, &gathering.refused) {
+            break gathering.fanout.give_up();
+        }
         let next = gathering.next_timer().into();
         if timer.deadline() != next {
             timer.as_mut().reset(next);
@@ -153,6 +170,7 @@
         tokio::select! {
             biased;
             Some(end) = calls.next() => gathering.on_call_end(end),
+            Some((position, permit)) = waits.next() => gathering.on_turn(position, permit),
             Some(end) = handovers.next() => gathering.on_handover_end(end),
             have_ended = end_of(&mut gathering.inquiry) => gathering.on_inquiry_end(have_ended),
             () = &mut timer => gathering.on_timer(),
@@ -210,9 +228,29 @@
             alarm_level: None,
             inquiry: None,
             have_ended: false,
+            permits: HashMap::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    /// Calls a leaf of a shard that has waited for its turn, or fails the shard if it is refused.
+    fn on_turn(&mut self, shard: usize, permit: Option<HeldPermit>) {
+        if let Some(permit) = permit {
+            self.permits.insert(shard, permit);
+            self.end_handover(&[shard], &[], Outcome::Unsent);
+        } else {
+            self.refuse(shard, false);
         }
     }
 
+    fn refuse(&mut self, shard: usize, may_have_run: bool) {
+        self.refused.push(shard);
+        with_context(self.shared, |context| {
+            self.fanout
+                .on_handover_refused(shard, may_have_run, context);
+        });
+    }
+
     fn next_timer(&self) -> Instant {
         let late = self.pending.iter().map(|pending| pending.late_at).min();
         let next = self.fanout.next_timer();
@@ -310,6 +348,15 @@
         if is_lost {
             self.raise_alarm();
         }
+        if end.outcome == Outcome::Answered
+            && let Some(permit) = self.permits.remove(&end.shard)
+        {
+            permit.answered();
+        }
+        if end.outcome == Outcome::NotRun {
+            let mut loads = self.shared.shard_loads.borrow_mut();
+            loads.on_leaf_refusal(&self.services[end.shard]);
+        }
         match end.outcome {
             Outcome::Answered if self.fanout.coverage().answered > answered_before => {
                 self.parts.extend(end.answer.map(|answer| Part {
@@ -378,7 +425,8 @@
 
     fn on_handover_end(&mut self, end: handover::End) {
         let handover::End {
-            group,
+            mut group,
+            refused,
             mut answered,
             mut rest_outcome,
             answer,
@@ -394,6 +442,18 @@
             self.call_errors
                 .push(format!("{} {rest_outcome:?}", group.name));
         }
+        let is_not_run = matches!(rest_outcome, Outcome::Unsent | Outcome::NotRun);
+        // The shards that an answer leaves out because they are refused have not run either.
+        let may_have_run = !is_not_run && answer.is_none();
+        for shard in refused {
+            if !answered.contains(&shard) {
+                group.shards.retain(|other| *other != shard);
+                self.refuse(shard, may_have_run);
+            }
+        }
+        if group.shards.is_empty() || shard_queue::prevents_answer(self.forwarded, &self.refused) {
+            return;
+        }
         if group.role == HandoverRole::Coordinator && rest_outcome == Outcome::Unsent {
             self.hand_over_to_owners(group);
             return;
@@ -471,6 +531,7 @@
             has_survivor,
             lost_leafs,
             may_have_called: self.fanout.may_have_called(),
+            refused: std::mem::take(&mut self.refused),
         }
     }
 }
--- a/instance/src/handover.rs
+++ b/instance/src/handover.rs
@@ -27,6 +27,7 @@
 use camphorhold::state::plan::Target;
 use camphorhold::transport::http;
 use camphorhold_platform::header;
+use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
@@ -34,8 +35,10 @@
 use hyper::header::HeaderValue;
 use thiserror::Error;
 
+use crate::answer;
 use crate::call::ForwardedRequest;
 use crate::peer;
+use crate::shard_queue;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
@@ -60,6 +63,10 @@
 /// In an answer without a result, present if no leaf has received the request.
 const UNCALLED_HEADER: HeaderName = HeaderName::from_static("camphorhold-no-leaf-called");
 
+/// In an answer, the positions of the shards that are refused because of their load and that no leaf
+/// has run. With an error status other than 503 a leaf may have run them.
+const REFUSED_HEADER: HeaderName = HeaderName::from_static("camphorhold-refused-shards");
+
 const COORDINATOR: HeaderValue = HeaderValue::from_static("coordinator");
 const OWNER: HeaderValue = HeaderValue::from_static("owner");
 
@@ -209,6 +216,37 @@
     }
 }
 
+/// Adds the headers of an answer to another instance that tell of the load of its shards.
+pub fn add_load_headers(
+    shared: &Shared,
+    forwarded: &ForwardedRequest,
+    handover_request: &HandoverRequest,
+    refused: &[usize],
+    answer: &mut Response<Full<Bytes>>,
+) {
+    let headers = answer.headers_mut();
+    shard_queue::add_thresholds(shared, forwarded, &handover_request.shards, headers);
+    if !refused.is_empty()
+        && let Ok(refused) = HeaderValue::from_str(&join(refused))
+    {
+        headers.insert(REFUSED_HEADER, refused);
+    }
+}
+
+/// Returns the answer to a handover whose shards are all refused because of their load.
+pub fn refuse(
+    shared: &Shared,
+    forwarded: &ForwardedRequest,
+    handover_request: &HandoverRequest,
+) -> Response<Full<Bytes>> {
+    let mut answer = answer::refuse(answer::retry_after(&forwarded.route));
+    let refused = &handover_request.shards;
+    add_answer_headers(shared, answer.headers_mut(), &[], &[], false);
+    add_load_headers(shared, forwarded, handover_request, refused, &mut answer);
+    metrics::counter!("camphorhold_requests_total", "outcome" => "crowded").increment(1);
+    answer
+}
+
 fn lost_leafs(shared: &Shared, answer: &Response<Bytes>) -> Vec<LeafKey> {
     let Some(Ok(lost)) = answer.headers().get(LOST_HEADER).map(HeaderValue::to_str) else {
         return Vec::new();
@@ -246,6 +284,9 @@
     pub answered: Vec<usize>,
     /// The outcome of the shards that the answer does not cover.
     pub rest_outcome: Outcome,
+    /// The shards that the instance has refused because of their load, by their positions in the
+    /// request.
+    pub refused: Vec<usize>,
     /// The merged answer, if one arrived and it lists the shards that it covers.
     pub answer: Option<Response<Bytes>>,
     /// Leafs whose connections were lost under the request, if none survived it.
@@ -258,6 +299,7 @@
             group,
             answered: Vec::new(),
             rest_outcome,
+            refused: Vec::new(),
             answer: None,
             lost: Vec::new(),
         }
@@ -271,8 +313,9 @@
         answer: Response<Bytes>,
         handover_request: &HandoverRequest,
     ) -> Self {
-        let answered = answered_shards(&answer, handover_request, &group);
+        let answered = listed_shards(&answer, &HEADER, handover_request, &group);
         Self {
+            refused: Vec::new(),
             lost: lost_leafs(shared, &answer),
             group,
             answer: answered.is_some().then_some(answer),
@@ -375,7 +418,13 @@
         return End::without_answer(group, Outcome::Failed);
     };
     in_flight.end(&result);
-    match result {
+    let refused = result.as_ref().map_or(Vec::new(), |answer| {
+        let positions = &handover_request.shards;
+        shard_queue::record_thresholds(&shared, &forwarded, positions, answer.headers());
+        let refused = listed_shards(answer, &REFUSED_HEADER, &handover_request, &group);
+        refused.unwrap_or_default()
+    });
+    let end = match result {
         Ok(answer) => match answer.status() {
             StatusCode::OK => End::with_answer(&shared, group, answer, &handover_request),
             StatusCode::CONFLICT => End::without_answer(group, Outcome::Unsent),
@@ -392,7 +441,8 @@
             log::info!(request = forwarded.id(), instance = &*group.name, error:% = error; "handover to instance failed");
             End::without_answer(group, unanswered_outcome(&error))
         }
-    }
+    };
+    End { refused, ..end }
 }
 
 fn unanswered_outcome(error: &http::Error) -> Outcome {
@@ -429,14 +479,15 @@
     }
 }
 
-/// Returns the shards that an answer covers, by their positions in the request, or `None` if it
-/// does not list them or lists one that was not handed over.
-fn answered_shards(
+/// Returns the shards that a header of an answer lists, by their positions in the request, or `None`
+/// if it lists none or one that was not handed over.
+fn listed_shards(
     answer: &Response<Bytes>,
+    header: &HeaderName,
     handover_request: &HandoverRequest,
     group: &ShardGroup,
 ) -> Option<Vec<usize>> {
-    let positions = split(answer.headers().get(HEADER)?.to_str().ok()?)?;
+    let positions = split(answer.headers().get(header)?.to_str().ok()?)?;
     positions
         .into_iter()
         .map(|position| {
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -24,6 +24,7 @@
 mod reload;
 mod request;
 mod server;
+mod shard_queue;
 mod shared;
 mod tokens;
 
--- a/instance/src/refusal.rs
+++ b/instance/src/refusal.rs
@@ -8,6 +8,7 @@
 
 use crate::answer::retry_after;
 use crate::call::ForwardedRequest;
+use crate::shard_queue;
 use crate::shared::Shared;
 
 /// When leafs without an entry are expected back, for callers that are refused for want of leafs.
@@ -17,7 +18,8 @@
 /// The longest pause that callers are asked for, as a share of the time that they wait in all.
 const LONGEST_PAUSE_SHARE: f64 = 1.0 / 3.0;
 
-/// Skips the shards of a caller's query that have no leaf, or have reached their concurrency limit.
+/// Skips the shards of a caller's query that have no leaf, have reached their concurrency limit, or
+/// whose owner is expected to refuse the query.
 /// If too few shards remain for an answer, no leaf is called: returns the time after which the
 /// caller should try again.
 pub fn skip_unavailable_shards(
@@ -45,11 +47,16 @@
         };
     }
     let limits = shared.concurrency_limits.borrow();
+    let loads = shared.shard_loads.borrow();
+    let urgency = shard_queue::urgency(forwarded);
     let mut without_leafs = 0;
     let mut full = 0;
+    let mut overloaded = 0;
     for shard in &mut request.shards {
         if !fleet.has_candidates(&shard.service, request.deadline) {
             without_leafs += 1;
+        } else if !loads.expects(&shard.service, urgency, now) {
+            overloaded += 1;
         } else if !limits.has_room(&shard.service) {
             full += 1;
         } else {
@@ -72,9 +79,10 @@
         log::info!(request = forwarded.id(), route = route, without_leafs = without_leafs, in_scope = in_scope; "request refused: too many of its shards have no leaf");
         return Err(pause);
     }
-    if !can_answer(without_leafs + full) {
+    shard_queue::count_refusals(forwarded, "entry", overloaded);
+    if !can_answer(without_leafs + full + overloaded) {
         metrics::counter!("camphorhold_requests_total", "outcome" => "crowded").increment(1);
-        log::info!(request = forwarded.id(), route = route, full = full, in_scope = in_scope; "request refused: too many of its shards are at their concurrency limit");
+        log::info!(request = forwarded.id(), route = route, full = full, overloaded = overloaded, in_scope = in_scope; "request refused: too many of its shards are at their concurrency limit");
         return Err(retry_after(&forwarded.route));
     }
     Ok(())
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -50,6 +50,7 @@
 use crate::handover::Query;
 use crate::refusal::skip_unavailable_shards;
 use crate::relay;
+use crate::shard_queue;
 use crate::shared::Shared;
 use crate::tokens;
 
@@ -227,28 +228,48 @@
         positions,
     };
     let request = fanout_request(&shared, &plan, &forwarded, &query.positions, wait, origin);
-    let Some(mut request) = request else {
+    let Some(request) = request else {
         return refuse(retry_after(&forwarded.route));
     };
     let Some(handover_request) = handover_request else {
         return serve_caller(&shared, &plan, &forwarded, (request, query), wait, origin).await;
     };
-    limit_to_due_time(
+    let handover = (handover_request, role);
+    serve_instance(
         &shared,
-        &mut request,
-        &handover_request,
-        role,
-        origin.arrived,
-    );
+        &plan,
+        &forwarded,
+        (request, query),
+        handover,
+        origin,
+    )
+    .await
+}
+
+/// Answers a request of another instance, which hands over shards of a query.
+async fn serve_instance(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    forwarded: &Rc<ForwardedRequest>,
+    (mut request, query): (fanout::Request, Query),
+    (handover_request, role): (HandoverRequest, HandoverRole),
+    origin: Origin,
+) -> Response<Full<Bytes>> {
+    let arrived = origin.arrived;
+    limit_to_due_time(shared, &mut request, &handover_request, role, arrived);
     let groups = match role {
         HandoverRole::Caller | HandoverRole::Owner => Vec::new(),
-        HandoverRole::Coordinator => assign_to_owners(&shared, &mut request),
+        HandoverRole::Coordinator => assign_to_owners(shared, &mut request),
     };
-    let end = gather::run(&shared, &forwarded, request, query, groups).await;
+    let queue = shard_queue::enter(shared, forwarded, &mut request);
+    if queue.refused.len() == request.shards.len() {
+        return handover::refuse(shared, forwarded, &handover_request);
+    }
+    let end = gather::run(shared, forwarded, request, query, groups, queue).await;
     if end.has_survivor {
-        crashes::record_survival(&shared, &forwarded);
+        crashes::record_survival(shared, forwarded);
     }
-    end.respond_to_instance(&shared, &plan, &forwarded, origin, &handover_request)
+    end.respond_to_instance(shared, plan, forwarded, origin, &handover_request)
 }
 
 /// Answers a request of a caller, which may have been relayed by another instance.
@@ -273,7 +294,8 @@
     } else {
         assign_handovers(shared, &forwarded.route, &mut request)
     };
-    let end = gather::run(shared, forwarded, request, query, groups).await;
+    let queue = shard_queue::enter(shared, forwarded, &mut request);
+    let end = gather::run(shared, forwarded, request, query, groups, queue).await;
     attempt.end(&end);
     if origin.source == Source::Caller
         && !forwarded.sent.get()
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -36,6 +36,7 @@
 use tokio::sync::Notify;
 
 use crate::pool::Pool;
+use crate::shard_queue;
 
 /// The number of instances, and of their failure domains, assumed until the registrations have been
 /// read from the store.
@@ -106,6 +107,8 @@
     pub retry_budgets: RefCell<RetryBudgets>,
     /// How many queries may wait for each shard at the same time.
     pub concurrency_limits: RefCell<ConcurrencyLimits>,
+    /// The load of the shards whose leafs this instance calls, and which queries they admit.
+    pub shard_loads: RefCell<shard_queue::Loads>,
     /// The registered instances, this one included.
     pub instances: RefCell<Instances>,
     /// The tokens of limited leafs that this instance grants.
@@ -183,6 +186,7 @@
             fleet: RefCell::new(fleet),
             retry_budgets: RefCell::new(retry_budgets),
             concurrency_limits: RefCell::default(),
+            shard_loads: RefCell::default(),
             instances: RefCell::new(instances),
             grantor: RefCell::default(),
             limit_named: Notify::new(),
@@ -356,5 +360,8 @@
         self.concurrency_limits
             .borrow_mut()
             .retain(|shard| plan.service(shard).is_some());
+        self.shard_loads
+            .borrow_mut()
+            .retain(|shard| plan.service(shard).is_some());
     }
 }
--- a/instance/tests/owners.rs
+++ b/instance/tests/owners.rs
@@ -11,10 +11,13 @@
 use camphorhold::state::plan::Scope;
 use camphorhold::state::plan::Target;
 use camphorhold_testutils::platform::leaf::Behaviour;
+use camphorhold_testutils::platform::leaf::Leaf;
 use hyper::Response;
 use hyper::StatusCode;
 use support::Instance;
 use support::Platform;
+use support::recorder::Message;
+use support::recorder::Peer;
 use support::wait_until;
 
 const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
@@ -290,3 +293,86 @@
     );
     assert_eq!(instance.counter("camphorhold_retries_total").await, 0);
 }
+
+/// Guards against queries that wait at an owner, or that its leafs run, although they cannot be
+/// answered in time behind others. A refused query must not have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_refuses_at_once_what_it_cannot_do_in_time() {
+    const LEAF_TIME: Duration = Duration::from_millis(400);
+    let deployment = Deployment::start().await;
+    let near = &deployment.near[2];
+    for leaf in &deployment.platform.leafs {
+        leaf.set_behaviour(Behaviour::Slow(LEAF_TIME));
+    }
+    let send = || async {
+        let mut headers = handover("2;900;0", None);
+        headers.push(("camphorhold-handover-role", "owner".into()));
+        let answer = near.send_as_instance("/all/x", &headers).await;
+        answer.expect("an answer")
+    };
+    wait_until("an owner refuses a query", || async {
+        let runs = deployment.platform.runs();
+        let answers = futures::future::join_all((0..24).map(|_| send())).await;
+        let (refused, others): (Vec<_>, Vec<_>) = answers
+            .iter()
+            .partition(|answer| !header(answer, "camphorhold-refused-shards").is_empty());
+        for answer in &refused {
+            assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+            assert_eq!(header(answer, "camphorhold-refused-shards"), "0");
+        }
+        // Others may run at two leafs.
+        assert!(deployment.platform.runs() - runs <= 2 * others.len());
+        !refused.is_empty()
+    })
+    .await;
+    let refusals = "camphorhold_shard_refusals_total{place=\"owner\",priority=\"1\"}";
+    assert!(near.counter(refusals).await > 0);
+}
+
+/// Guards against a query that goes on to the leafs although the owners of its shards have refused it
+/// because of their load, and against further ones that are handed over although they have said that
+/// they would refuse them.
+#[tokio::test(flavor = "multi_thread")]
+async fn queries_that_owners_refuse_are_not_run() {
+    let leafs: Vec<(&str, &str)> = SHARDS.iter().map(|shard| (*shard, "b")).collect();
+    let platform = Platform::start(&leafs).await;
+    platform.configure_with_scarce_connections(2, &SHARDS);
+    let entry = Instance::start(&platform, "1", "a").await;
+    let peer = Peer::start().await;
+    let headers = [
+        ("camphorhold-refused-shards", "0,1,2,3"),
+        ("camphorhold-no-leaf-called", "1"),
+        ("camphorhold-shard-thresholds", "0=20,1=20,2=20,3=20"),
+    ];
+    peer.set_answer(Message {
+        status: 503,
+        headers: headers
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .into(),
+        body: String::new(),
+    });
+    for name in ["2", "3", "4"] {
+        peer.register_as(&platform, name, "b", &serde_json::json!({"capacity": 1.0}));
+    }
+    let refusals = "camphorhold_shard_refusals_total{place=\"entry\",priority=\"1\"}";
+    let sent = std::cell::Cell::new(0);
+    wait_until("the caller's instance refuses a query", || async {
+        sent.set(sent.get() + 1);
+        let id = format!("q{}", sent.get());
+        let handovers = || {
+            let messages = peer.messages().into_iter();
+            let is_handover =
+                |message: &Message| message.headers.contains_key("camphorhold-handover");
+            messages.filter(is_handover).count()
+        };
+        let before = handovers();
+        let answer = entry.send(&id, "/all/x").await.expect("an answer");
+        let runs = platform.leafs.iter().flat_map(Leaf::runs);
+        let has_run = runs.into_iter().any(|run| run.request == id);
+        // The first ones are sent before the other instances are known.
+        assert_eq!(has_run, answer.status() == StatusCode::OK);
+        assert!(!has_run || handovers() == before);
+        entry.counter(refusals).await > 0
+    })
+    .await;
+}
