--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -34,6 +34,7 @@
 mod report;
 mod request;
 mod server;
+mod shard_queue;
 mod shared;
 mod tokens;
 mod usage;
