--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -78,7 +78,6 @@
     /// The customer that the caller's key belongs to; `None` if the route needs no key.
     pub customer: Option<std::sync::Arc<str>>,
     /// The priority of the customer, or of the route if the customer has none.
-    #[expect(dead_code, reason = "read once requests are admitted by priority")]
     pub priority: u32,
     /// The whole body. Its length is within the limit of the configuration.
     pub body: Bytes,
--- a/instance/src/shard_queue.rs
+++ b/instance/src/shard_queue.rs
@@ -83,7 +83,7 @@
         "" => xxh3_64(&forwarded.fingerprint().0.to_le_bytes()),
         id => xxh3_64(id.as_bytes()),
     };
-    Urgency::new(forwarded.route.priority, hash)
+    Urgency::new(forwarded.priority, hash)
 }
 
 /// Asks the limits of the shards that this instance is to call itself. A refused shard is skipped; one
@@ -158,7 +158,7 @@
 /// Counts shards that are refused for their load, at their owner or at the caller's instance.
 pub fn count_refusals(forwarded: &ForwardedRequest, place: &'static str, shards: usize) {
     if shards > 0 {
-        let priority = Urgency::new(forwarded.route.priority, 0).band().to_string();
+        let priority = Urgency::new(forwarded.priority, 0).band().to_string();
         let shards = u64::try_from(shards).unwrap_or(u64::MAX);
         metrics::counter!("camphorhold_shard_refusals_total", "place" => place, "priority" => priority)
             .increment(shards);
