--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -152,8 +152,9 @@
 }
 
 /// Answers a request. Errors are responses too: 404 if no route matches, 401 without the key of a
-/// customer on a route that needs one, 409 for a handover that this instance refuses, 413 for a body above the limit, 400 for a body that cannot be read, 503
-/// if no leaf has run the request, and otherwise 502, 504 or the error of the leaf.
+/// customer on a route that needs one, 409 for a handover that this instance refuses, 413 for a body
+/// above the limit, 400 for a body that cannot be read, 503 if no leaf has run the request, and
+/// otherwise 502, 504 or the error of the leaf.
 pub async fn handle(
     shared: Rc<Shared>,
     request: Request<Incoming>,
