feed: take the time from the instance's clock

The wait for changes read the runtime's clock, while all code takes time through the clock interface. The wait is as long as before.

Tested: feed 4 passed, clippy of the instance, formatter.

--- a/instance/src/feed.rs
+++ b/instance/src/feed.rs
@@ -233,7 +233,7 @@
     let Some(after) = after.and_then(|after| after.parse().ok()) else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
-    let until = tokio::time::Instant::now() + WAIT;
+    let until = shared.now() + WAIT;
     loop {
         let changed = shared.feed.changed.notified();
         if shared.phase.get() != Phase::Serving {
@@ -244,7 +244,10 @@
             return empty_response(StatusCode::GONE);
         };
         let has_news = answer.revision > after;
-        let timed_out = !has_news && tokio::time::timeout_at(until, changed).await.is_err();
+        let timed_out = !has_news
+            && tokio::time::timeout_at(until.into(), changed)
+                .await
+                .is_err();
         if !has_news && !timed_out {
             continue;
         }
