review: case 8, a request that takes the power from leafs is never refused

Only a lost connection is taken as a sign that a leaf may have ended, and a leaf without power loses none. Ruled out: leafs whose connections end with them (three ended, then the request was refused), and a harmless request (TROUBLE=0 holds).

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -2,7 +2,7 @@
 
 mod endless;
 mod late;
-mod rest;
+mod power;
 mod rollout;
 
 use std::io;
@@ -34,7 +34,7 @@
     let result = match name {
         "endless" => endless::run(&setting),
         "late" => late::run(&setting),
-        "rest" => rest::run(&setting),
+        "power" => power::run(&setting),
         "rollout" => rollout::run(&setting),
         _ => Err(io::Error::other("no such case")),
     };
--- a/review/standin-2/leaf.rs
+++ b/review/standin-2/leaf.rs
@@ -35,8 +35,11 @@
     }
 }
 
-/// How long a full leaf keeps a request in its queue before it turns it away.
-const QUEUE_TIME: Duration = Duration::from_millis(300);
+/// More connections than wait at a listener of the standard library.
+const BACKLOG: usize = 5_000;
+
+/// How long a leaf works on a harmful request before its machine loses power.
+const TIME_TO_END: Duration = Duration::from_millis(20);
 
 /// What a leaf does with a request that is meant for it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,12 +48,12 @@
     Answer(Duration),
     /// Runs it and answers with that status.
     Fail(u16),
-    /// Keeps it in its queue for [`QUEUE_TIME`] and does not run it: 503, and no requests for that many
-    /// seconds.
-    Rest(u64),
     /// Runs it, and answers with a chunked body whose first chunk size is a digit 0 without end. All
     /// such answers of the leaf together have that many bytes per second at most.
     EndlessChunkSize(u64),
+    /// Runs it for [`TIME_TO_END`], and then its machine loses power if the path holds `harmful`. Other
+    /// requests are answered after that long.
+    LosesPower(Duration),
 }
 
 /// A request that has reached a leaf.
@@ -71,9 +74,10 @@
     behaviour: Arc<Mutex<Behaviour>>,
     leaving: Arc<AtomicBool>,
     ended: Arc<AtomicBool>,
+    crashed: Arc<AtomicBool>,
+    power_lost_at: Arc<Mutex<Option<Duration>>>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
-    refusals: Arc<Mutex<Vec<Duration>>>,
     link: Arc<Link>,
     record: Record,
 }
@@ -100,9 +104,10 @@
             behaviour: Arc::new(Mutex::new(Behaviour::Answer(Duration::from_millis(5)))),
             leaving: Arc::default(),
             ended: Arc::default(),
+            crashed: Arc::default(),
+            power_lost_at: Arc::default(),
             connections: Arc::default(),
             arrivals: Arc::default(),
-            refusals: Arc::default(),
             link: Arc::default(),
             record: record.clone(),
         };
@@ -110,7 +115,11 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if server.ended.load(Ordering::SeqCst) {
-                    return;
+                    if server.crashed.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    // Without power the listener stays, so that its queue stays full.
+                    let _ = server.stay_silent();
                 }
                 let server = server.clone();
                 std::thread::spawn(move || {
@@ -144,13 +153,9 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
-    /// When it has turned requests away with 503 and `Retry-After`.
-    pub fn refusals(&self) -> Vec<Duration> {
-        self.refusals.lock().expect("not poisoned").clone()
-    }
-
     /// Crashes: its connections end, and its address accepts no new ones.
     pub fn crash(&self) {
+        self.crashed.store(true, Ordering::SeqCst);
         self.ended.store(true, Ordering::SeqCst);
         // Wakes the listener, which ends.
         let _ = TcpStream::connect(self.address);
@@ -160,6 +165,37 @@
         self.record.write(&format!("leaf {} has crashed", self.id));
     }
 
+    /// Loses power: its connections stay open and silent, and new ones are not established.
+    fn lose_power(&self) {
+        if self.ended.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        *self.power_lost_at.lock().expect("not poisoned") = Some(self.record.elapsed());
+        self.record
+            .write(&format!("the machine of leaf {} has lost power", self.id));
+        // Wakes the listener, which accepts no more. Connections beyond those that fill its queue are
+        // not established.
+        let mut held = self.connections.lock().expect("not poisoned");
+        for _ in 0..BACKLOG {
+            match TcpStream::connect_timeout(&self.address, Duration::from_millis(20)) {
+                Ok(stream) => held.push(stream),
+                Err(_) => break,
+            }
+        }
+    }
+
+    /// When its machine has lost power.
+    pub fn power_lost_at(&self) -> Option<Duration> {
+        *self.power_lost_at.lock().expect("not poisoned")
+    }
+
+    /// Keeps the connection open until the end of the case.
+    fn stay_silent(&self) -> std::io::Result<()> {
+        loop {
+            std::thread::sleep(Duration::from_secs(60));
+        }
+    }
+
     /// The requests that have reached it and were meant for it.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().expect("not poisoned").clone()
@@ -224,16 +260,21 @@
                 let text = head(200, &stamp, body.len());
                 writer.write_all(format!("{text}{body}").as_bytes())
             }
-            Behaviour::Fail(status) => writer.write_all(head(status, &stamp, 0).as_bytes()),
-            Behaviour::Rest(seconds) => {
-                std::thread::sleep(QUEUE_TIME);
-                self.refusals
-                    .lock()
-                    .expect("not poisoned")
-                    .push(self.record.elapsed());
-                let more = format!("X-Camphorhold-Not-Executed: 1\r\nRetry-After: {seconds}\r\n");
-                writer.write_all(head(503, &more, 0).as_bytes())
+            Behaviour::LosesPower(work) => {
+                if request.second().contains("harmful") {
+                    std::thread::sleep(TIME_TO_END);
+                    self.lose_power();
+                    return self.stay_silent();
+                }
+                std::thread::sleep(work);
+                if self.ended.load(Ordering::SeqCst) {
+                    return self.stay_silent();
+                }
+                let body = format!("{} {id}\n", self.id);
+                let text = head(200, &stamp, body.len());
+                writer.write_all(format!("{text}{body}").as_bytes())
             }
+            Behaviour::Fail(status) => writer.write_all(head(status, &stamp, 0).as_bytes()),
             Behaviour::EndlessChunkSize(rate) => {
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nX-Camphorhold-Request-Id: {id}\r\n{stamp}Transfer-Encoding: chunked\r\n\r\n"
