--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -4,7 +4,6 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
-use std::net::TcpStream;
 
 /// A request or an answer, complete.
 #[derive(Clone, Debug)]
@@ -33,7 +32,10 @@
     }
 }
 
-fn line(reader: &mut BufReader<TcpStream>) -> io::Result<String> {
+fn line<R>(reader: &mut BufReader<R>) -> io::Result<String>
+where
+    R: Read,
+{
     let mut line = Vec::new();
     reader.read_until(b'\n', &mut line)?;
     if line.last() != Some(&b'\n') {
@@ -44,7 +46,10 @@
 }
 
 /// Reads one message; `None` if the connection ends before it.
-pub fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+pub fn read<R>(reader: &mut BufReader<R>) -> io::Result<Option<Message>>
+where
+    R: Read,
+{
     if reader.fill_buf()?.is_empty() {
         return Ok(None);
     }
--- a/review/standin-2/leaf.rs
+++ b/review/standin-2/leaf.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::fd::AsRawFd;
+use std::os::fd::RawFd;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -35,8 +37,8 @@
     }
 }
 
-/// More connections than wait at a listener of the standard library.
-const BACKLOG: usize = 5_000;
+/// More connections than wait at a listener whose queue is as short as possible.
+const FILLERS: usize = 16;
 
 /// How long a leaf works on a harmful request before its machine loses power.
 const TIME_TO_END: Duration = Duration::from_millis(20);
@@ -63,6 +65,10 @@
     pub id: String,
 }
 
+unsafe extern "C" {
+    fn listen(socket: RawFd, backlog: i32) -> i32;
+}
+
 #[derive(Clone)]
 pub struct Leaf {
     pub id: String,
@@ -71,12 +77,13 @@
     pub version: String,
     pub born: u64,
     pub address: SocketAddr,
+    listener: RawFd,
     behaviour: Arc<Mutex<Behaviour>>,
     leaving: Arc<AtomicBool>,
     ended: Arc<AtomicBool>,
     crashed: Arc<AtomicBool>,
     power_lost_at: Arc<Mutex<Option<Duration>>>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
+    connections: Arc<Mutex<Vec<Arc<TcpStream>>>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     link: Arc<Link>,
     record: Record,
@@ -101,6 +108,7 @@
             version: version.to_owned(),
             born: u64::try_from(since.as_millis()).unwrap_or(0),
             address: listener.local_addr()?,
+            listener: listener.as_raw_fd(),
             behaviour: Arc::new(Mutex::new(Behaviour::Answer(Duration::from_millis(5)))),
             leaving: Arc::default(),
             ended: Arc::default(),
@@ -173,12 +181,15 @@
         *self.power_lost_at.lock().expect("not poisoned") = Some(self.record.elapsed());
         self.record
             .write(&format!("the machine of leaf {} has lost power", self.id));
-        // Wakes the listener, which accepts no more. Connections beyond those that fill its queue are
-        // not established.
+        // SAFETY: the listener stays open until the end of the process, and the call only shortens the
+        // queue of connections that wait to be accepted.
+        unsafe { listen(self.listener, 0) };
+        // The first one wakes the listener, which accepts no more. Once the queue is full, connections
+        // are not established.
         let mut held = self.connections.lock().expect("not poisoned");
-        for _ in 0..BACKLOG {
+        for _ in 0..FILLERS {
             match TcpStream::connect_timeout(&self.address, Duration::from_millis(20)) {
-                Ok(stream) => held.push(stream),
+                Ok(stream) => held.push(Arc::new(stream)),
                 Err(_) => break,
             }
         }
@@ -203,19 +214,31 @@
 
     fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
-        let mut writer = stream.try_clone()?;
+        let stream = Arc::new(stream);
         self.connections
             .lock()
             .expect("not poisoned")
-            .push(stream.try_clone()?);
-        let mut reader = BufReader::new(stream);
-        while let Some(request) = http::read(&mut reader)? {
-            self.answer(&request, &mut writer)?;
-        }
-        Ok(())
+            .push(Arc::clone(&stream));
+        let mut reader = BufReader::new(&*stream);
+        let result = loop {
+            match http::read(&mut reader) {
+                Ok(Some(request)) => {
+                    if let Err(error) = self.answer(&request, &stream) {
+                        break Err(error);
+                    }
+                }
+                Ok(None) => break Ok(()),
+                Err(error) => break Err(error),
+            }
+        };
+        self.connections
+            .lock()
+            .expect("not poisoned")
+            .retain(|other| !Arc::ptr_eq(other, &stream));
+        result
     }
 
-    fn answer(&self, request: &Message, writer: &mut TcpStream) -> std::io::Result<()> {
+    fn answer(&self, request: &Message, mut writer: &TcpStream) -> std::io::Result<()> {
         let id = request
             .header("x-camphorhold-request-id")
             .unwrap_or("")
