instance: requests sent ahead of their turn give way to callers

What callers saw: beside clients that send further requests behind one in progress, an ordinary request got 503 for as long as those went on. With 480 such clients (1 MiB of requests each) no ordinary request was answered within the 60 s of the test, although the leafs were sound.

Cause: each further request is there at the moment at which the one before has been answered or refused, so such connections take all of the room that becomes free, and a refusal is followed at once by the next request of the same connection.

Change: a request whose first byte arrived before the answer to the one before counts as sent ahead. If there is no room for one of these, its connection closes after the 503. For 2 s after a request in its turn has been refused, those sent ahead are refused without being started, and their connections close; the 503 remains true, as nothing has run. The decision is a state machine of its own (`precedence`), tested without a network. Without a refusal nothing changes for clients that pipeline.

--- a/instance/src/activity.rs
+++ b/instance/src/activity.rs
@@ -85,10 +85,11 @@
         }
     }
 
-    /// Records that the head of a request has been read. Returns when its first byte arrived.
-    pub fn begin(&self, now: Instant) -> Instant {
+    /// Records that the head of a request has been read. Returns when its first byte arrived, `None` if
+    /// that was before the answer to the request before it.
+    pub fn begin(&self) -> Option<Instant> {
         self.busy.set(true);
-        self.head_since.take().unwrap_or(now)
+        self.head_since.take()
     }
 
     /// Records that the response is ready.
--- a/instance/src/request.rs
+++ b/instance/src/request.rs
@@ -349,6 +349,18 @@
 pub fn refuse_client(shared: &Shared, source: Source) -> Response<Full<Bytes>> {
     metrics::counter!("camphorhold_requests_total", "outcome" => "no_memory").increment(1);
     log::debug!(config_version = shared.plan_version(); "request refused: no memory for its client");
+    refuse_and_close(source)
+}
+
+/// Refuses a request that was sent before the answer to the one before, while callers that wait for
+/// their answers are refused.
+pub fn refuse_ahead(shared: &Shared, source: Source) -> Response<Full<Bytes>> {
+    metrics::counter!("camphorhold_requests_total", "outcome" => "gave_way").increment(1);
+    log::debug!(config_version = shared.plan_version(); "request refused: it was sent ahead of its turn");
+    refuse_and_close(source)
+}
+
+fn refuse_and_close(source: Source) -> Response<Full<Bytes>> {
     let response = match source {
         Source::Caller => refuse(NO_MEMORY_PAUSE),
         Source::Instance | Source::Relay => relay::refusal(),
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use camphorhold::coordination::serving::memory_account::Port;
+use camphorhold::coordination::serving::precedence::Order;
 use camphorhold::state::plan::Limits;
 use camphorhold::transport::client::Connection;
 use futures::FutureExt;
@@ -33,6 +34,7 @@
 
 use crate::activity::Activity;
 use crate::activity::ActivityStream;
+use crate::answer::close_after;
 use crate::answer::closing_response;
 use crate::answer::empty_response;
 use crate::request;
@@ -181,13 +183,19 @@
     let (state, recorded) = (Rc::clone(&shared), Rc::clone(&activity));
     let stream = ActivityStream::new(stream, state, recorded, source);
     let first = Cell::new(true);
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
+        let arrived = activity.begin();
+        let first = first.replace(false);
         let origin = Origin {
-            arrived: activity.begin(shared.now()),
-            first: first.replace(false),
+            arrived: arrived.unwrap_or_else(|| shared.now()),
+            first,
             source,
         };
-        serve_request(&shared, &activity, request, origin)
+        let order = match arrived {
+            None if !first => Order::Ahead,
+            None | Some(_) => Order::InTurn,
+        };
+        serve_request(&shared, &activity, request, origin, order)
     });
     let connection = http1::Builder::new()
         .header_read_timeout(None)
@@ -233,6 +241,7 @@
     activity: &Activity,
     request: Request<Incoming>,
     origin: Origin,
+    order: Order,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     // A caller that has sent many requests at once would otherwise keep the thread for all of them.
     tokio::task::coop::consume_budget().await;
@@ -242,6 +251,9 @@
     if activity.charge_head().is_err() {
         return Ok(request::refuse_client(shared, origin.source));
     }
+    if !shared.precedence.borrow().may_start(order, shared.now()) {
+        return Ok(request::refuse_ahead(shared, origin.source));
+    }
     let answers_due = shared.answers_due.notified();
     let mut response = tokio::select! {
         biased;
@@ -257,6 +269,15 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
+    let is_refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    if is_refused
+        && shared
+            .precedence
+            .borrow_mut()
+            .on_refusal(order, shared.now())
+    {
+        response = close_after(response);
+    }
     activity.end(shared.now());
     charge_answer(activity.client(), &mut response);
     Ok(response)
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -20,6 +20,7 @@
 use camphorhold::coordination::serving::fleet::LeafKey;
 use camphorhold::coordination::serving::fleet::LeafLimits;
 use camphorhold::coordination::serving::memory_account::Limits;
+use camphorhold::coordination::serving::precedence::Precedence;
 use camphorhold::coordination::serving::rate_limit::Grantor;
 use camphorhold::coordination::serving::reachability::Reachability;
 use camphorhold::coordination::serving::split::Split;
@@ -137,6 +138,8 @@
     pub read_budget: ReadBudget,
     /// What clients make the process hold.
     pub clients: Account,
+    /// Which requests give way while there is no room for all.
+    pub precedence: RefCell<Precedence>,
     /// Idle connections to leafs.
     pub leaf_pool: Pool<LeafKey>,
     /// Idle connections to other instances.
@@ -217,6 +220,7 @@
             alarms: RefCell::new(Alarms::new(MAX_SUSPECTS)),
             read_budget: ReadBudget::new(read_bytes),
             clients,
+            precedence: RefCell::default(),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
             datagrams: OnceCell::new(),
--- a/instance/tests/clients.rs
+++ b/instance/tests/clients.rs
@@ -4,264 +4,28 @@
 
 mod support;
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
-use camphorhold_testutils::platform::CONFIGURATION_KEY;
-use camphorhold_testutils::platform::configuration;
 use camphorhold_testutils::platform::leaf::Behaviour;
-use futures::future::join_all;
-use hyper::StatusCode;
-use support::Instance;
-use support::Platform;
+use support::crowd::BODY_BYTES;
+use support::crowd::COUNT_INTERVAL;
+use support::crowd::Kind;
+use support::crowd::Target;
+use support::crowd::run_alone;
 use support::wait_until;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio::sync::Mutex;
-use tokio::sync::MutexGuard;
-
-/// The memory and the descriptors of the machine, as the settings state them. They are lower than
-/// those of the platform's machines, so that few clients show a fault.
-const MEMORY_MB: usize = 48;
-const MAX_DESCRIPTORS: usize = 400;
-
-/// The number of clients. Their connections alone are more than the descriptors of the machine, and
-/// their bodies are 2.5 times its memory.
-const CLIENTS: usize = 480;
-
-/// The limit on bodies, as on the platform.
-const BODY_BYTES: usize = 262_144;
-
-/// How much of a body or a head is never sent.
-const MISSING_BYTES: usize = 6;
-
-/// The chunks of a body in large chunks, and how many chunks of one byte a client sends.
-const CHUNK_BYTES: usize = 16_000;
-const SMALL_CHUNKS: usize = 2_000;
 
 /// The head of a request that has no end.
 const HEAD_BYTES: usize = 15_000;
 /// The same at the port for other instances, which permits longer ones.
 const PEER_HEAD_BYTES: usize = 250_000;
 
-/// How many bytes a slow client sends, one a second.
-const SLOW_BYTES: usize = 4;
-
 /// The clients that do not read their answers, the requests of each, and the length of an answer. The
 /// operating system holds some 2.6 MB for each connection.
 const SILENT_CLIENTS: usize = 60;
 const SILENT_REQUESTS: usize = 6;
 const LARGE_ANSWER_BYTES: usize = 1 << 20;
 
-/// How long a client tries to send. One that the instance does not read from gives up.
-const SEND_TIME: Duration = Duration::from_secs(10);
-
-/// How often the open descriptors are counted.
-const COUNT_INTERVAL: Duration = Duration::from_millis(5);
-
-/// Lets one test run at a time.
-async fn run_alone() -> MutexGuard<'static, ()> {
-    static LOCK: Mutex<()> = Mutex::const_new(());
-    LOCK.lock().await
-}
-
-/// What a client sends. None of them finishes a request, except those that change their kind.
-#[derive(Clone, Copy, Debug)]
-enum Kind {
-    /// A body with a length, all but its last bytes.
-    Length,
-    /// The same in large chunks.
-    LargeChunks,
-    /// Chunks of one byte.
-    SmallChunks,
-    /// A complete request, then half a body in large chunks, and the rest in chunks of one byte.
-    Changing,
-    /// A body with a length, and its last bytes one a second.
-    Slow,
-    /// A head without an end, of that many bytes.
-    Head(usize),
-    /// Nothing.
-    Idle,
-}
-
-/// Opens a connection and sends what a client of that kind sends. Returns the connection, unless the
-/// instance has closed it.
-async fn send(address: SocketAddr, kind: Kind, headers: &str) -> Option<TcpStream> {
-    let mut stream = TcpStream::connect(address).await.ok()?;
-    let sending = tokio::time::timeout(SEND_TIME, send_on(&mut stream, kind, headers));
-    match sending.await {
-        Ok(Err(_)) => None,
-        // A connection that is not read from is kept open all the same.
-        Ok(Ok(())) | Err(_) => Some(stream),
-    }
-}
-
-async fn send_on(stream: &mut TcpStream, kind: Kind, headers: &str) -> std::io::Result<()> {
-    let head = format!(
-        "POST /one/x HTTP/1.1\r\nHost: q.example\r\nX-Camphorhold-Request-Id: client\r\n{headers}"
-    );
-    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
-    let large_chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "x".repeat(CHUNK_BYTES));
-    let small_chunks = "1\r\nx\r\n".repeat(SMALL_CHUNKS);
-    let body = format!("{head}Content-Length: {BODY_BYTES}\r\n\r\n");
-    match kind {
-        Kind::Length => {
-            stream.write_all(body.as_bytes()).await?;
-            stream
-                .write_all(&vec![b'x'; BODY_BYTES - MISSING_BYTES])
-                .await
-        }
-        Kind::LargeChunks => {
-            stream.write_all(chunked.as_bytes()).await?;
-            for _ in 0..BODY_BYTES / CHUNK_BYTES {
-                stream.write_all(large_chunk.as_bytes()).await?;
-            }
-            Ok(())
-        }
-        Kind::SmallChunks => {
-            stream.write_all(chunked.as_bytes()).await?;
-            stream.write_all(small_chunks.as_bytes()).await
-        }
-        Kind::Changing => {
-            stream.write_all(format!("{head}\r\n").as_bytes()).await?;
-            stream.read_u8().await?;
-            stream.write_all(chunked.as_bytes()).await?;
-            for _ in 0..BODY_BYTES / CHUNK_BYTES / 2 {
-                stream.write_all(large_chunk.as_bytes()).await?;
-            }
-            stream.write_all(small_chunks.as_bytes()).await
-        }
-        Kind::Slow => {
-            stream.write_all(body.as_bytes()).await?;
-            let most = BODY_BYTES - MISSING_BYTES - SLOW_BYTES;
-            stream.write_all(&vec![b'x'; most]).await?;
-            for _ in 0..SLOW_BYTES {
-                tokio::time::sleep(Duration::from_secs(1)).await;
-                stream.write_all(b"x").await?;
-            }
-            Ok(())
-        }
-        Kind::Head(bytes) => {
-            stream.write_all(head.as_bytes()).await?;
-            let line = format!("X-Filler: {}\r\n", "x".repeat(1_000));
-            stream
-                .write_all(line.repeat(bytes / line.len()).as_bytes())
-                .await
-        }
-        Kind::Idle => Ok(()),
-    }
-}
-
-fn open_descriptors(process: u32) -> usize {
-    let open = std::fs::read_dir(format!("/proc/{process}/fd"));
-    open.map_or(0, Iterator::count)
-}
-
-/// Counts the open descriptors of a process until it is dropped.
-struct DescriptorCount {
-    most: Arc<AtomicUsize>,
-    ended: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl DescriptorCount {
-    fn start(process: u32) -> Self {
-        let most = Arc::new(AtomicUsize::new(0));
-        let ended = Arc::new(AtomicBool::new(false));
-        let (counted, stop) = (Arc::clone(&most), Arc::clone(&ended));
-        let thread = std::thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) {
-                counted.fetch_max(open_descriptors(process), Ordering::Relaxed);
-                std::thread::sleep(COUNT_INTERVAL);
-            }
-        });
-        Self {
-            most,
-            ended,
-            thread: Some(thread),
-        }
-    }
-
-    fn most(&self) -> usize {
-        self.most.load(Ordering::Relaxed)
-    }
-}
-
-impl Drop for DescriptorCount {
-    fn drop(&mut self) {
-        self.ended.store(true, Ordering::Relaxed);
-        if let Some(thread) = self.thread.take() {
-            drop(thread.join());
-        }
-    }
-}
-
-/// An instance on a small machine, with the platform that it runs on.
-struct Target {
-    platform: Platform,
-    instance: Instance,
-    descriptors: DescriptorCount,
-}
-
-impl Target {
-    async fn start() -> Self {
-        let platform = Platform::start(&[("s1", "a")]).await;
-        let mut configuration = configuration(2, &["s1"]);
-        configuration["limits"]["max_body_bytes"] = BODY_BYTES.into();
-        platform.store.put(CONFIGURATION_KEY, &configuration);
-        let mut instance = Instance::start(&platform, "1", "a").await;
-        instance.kill();
-        instance.set_machine_limits(MEMORY_MB, MAX_DESCRIPTORS);
-        instance.restart().await;
-        let descriptors = DescriptorCount::start(instance.id());
-        Self {
-            platform,
-            instance,
-            descriptors,
-        }
-    }
-
-    /// Sends what clients of that kind send, all at once, and returns their open connections.
-    async fn send(&self, address: SocketAddr, kind: Kind, headers: &str) -> Vec<TcpStream> {
-        let clients = (0..CLIENTS).map(|_| send(address, kind, headers));
-        join_all(clients).await.into_iter().flatten().collect()
-    }
-
-    /// Checks that an ordinary request is answered, while the clients hold their connections and after
-    /// they have closed them. Returns the peaks of the process if they exceed the limits of its machine.
-    async fn check(&mut self, what: &str, clients: Vec<TcpStream>) -> Option<String> {
-        // The counting thread may not have run yet.
-        let held = open_descriptors(self.instance.id());
-        assert!(held > 0, "{what}: the descriptors are not counted");
-        self.check_answer(what).await;
-        drop(clients);
-        self.check_answer(what).await;
-        let memory = self.instance.peak_memory();
-        let descriptors = self.descriptors.most().max(held);
-        let peaks = format!("{what}: {} KiB, {descriptors} descriptors", memory >> 10);
-        eprintln!("{peaks}");
-        let is_within = memory < MEMORY_MB << 20 && descriptors < MAX_DESCRIPTORS;
-        (!is_within).then_some(peaks)
-    }
-
-    async fn check_answer(&mut self, what: &str) {
-        let instance = &self.instance;
-        wait_until("an ordinary request is answered", || async {
-            let answer = instance.send("ordinary", "/one/x").await;
-            answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
-        })
-        .await;
-        assert!(self.instance.is_alive(), "{what}");
-        assert!(self.instance.is_ready().await, "{what}");
-    }
-}
-
 async fn check_callers(kind: Kind) {
     let _alone = run_alone().await;
     let mut target = Target::start().await;
--- a/instance/tests/support/mod.rs
+++ b/instance/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a test helper fails by panicking")]
 #![allow(dead_code, reason = "not every test file needs every helper")]
 
+pub mod crowd;
 pub mod recorder;
 pub mod usage;
 
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -14,6 +14,7 @@
 pub mod freshness;
 pub mod instances;
 pub mod memory_account;
+pub mod precedence;
 pub mod rate_limit;
 pub mod reachability;
 pub mod retry_budget;
--- a/testutils/src/platform/leaf.rs
+++ b/testutils/src/platform/leaf.rs
@@ -25,6 +25,12 @@
 /// How long a leaf that a request has ended is down.
 const RESTART_TIME: Duration = Duration::from_millis(1_200);
 
+/// How often [`Behaviour::Held`] looks whether the behaviour has changed.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The filler lines in the head of [`Behaviour::LongHead`].
+const LONG_HEAD_LINES: usize = 8;
+
 /// How a leaf responds to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -35,6 +41,11 @@
     Slow(Duration),
     /// It runs and answers each request, with a body of that many bytes.
     Large(usize),
+    /// It runs and answers each request, with a head of about that many bytes and no body.
+    LongHead(usize),
+    /// It runs each request, and answers with a body of that many bytes once its behaviour has
+    /// changed.
+    Held(usize),
     /// It runs each request and never answers. The connection stays open until the caller closes
     /// it.
     Hang,
@@ -359,6 +370,23 @@
         self.lock().open_connections
     }
 
+    fn large_answer(&self, request: &str, bytes: usize) -> Vec<u8> {
+        let head = answer_head(&self.id, request, &format!("Content-Length: {bytes}"));
+        [head.into_bytes(), vec![b'.'; bytes]].concat()
+    }
+
+    fn long_head(&self, request: &str, bytes: usize) -> Vec<u8> {
+        let filler = "x".repeat(bytes / LONG_HEAD_LINES);
+        let lines = format!("\r\nX-Filler: {filler}").repeat(LONG_HEAD_LINES);
+        answer_head(&self.id, request, &format!("Content-Length: 0{lines}")).into_bytes()
+    }
+
+    async fn wait_for_change(&self, behaviour: Behaviour) {
+        while self.lock().behaviour == behaviour {
+            tokio::time::sleep(RELEASE_INTERVAL).await;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -444,12 +472,12 @@
         let answer = leaf.answer(&id);
         match behaviour {
             Behaviour::Answer => stream.write_all(&answer).await?,
-            Behaviour::Large(bytes) => {
-                let framing = format!("Content-Length: {bytes}");
-                let head = answer_head(&leaf.id, &id, &framing);
-                let answer = [head.into_bytes(), vec![b'.'; bytes]].concat();
-                stream.write_all(&answer).await?;
+            Behaviour::Large(bytes) => stream.write_all(&leaf.large_answer(&id, bytes)).await?,
+            Behaviour::Held(bytes) => {
+                leaf.wait_for_change(behaviour).await;
+                stream.write_all(&leaf.large_answer(&id, bytes)).await?;
             }
+            Behaviour::LongHead(bytes) => stream.write_all(&leaf.long_head(&id, bytes)).await?,
             Behaviour::StatusLine(line) => {
                 let answer = String::from_utf8_lossy(&answer).replacen("HTTP/1.1 200 OK", line, 1);
                 stream.write_all(answer.as_bytes()).await?;
