instance: bound what clients' connections receive and nobody reads

What was seen: DEPLOY.md counts bytes that have been received and not yet read as memory of the process. Nothing set a receive buffer, so each connection that the instance does not read held what the operating system grants, 128 KiB at first and several MB later, in no account.

Cause: the account of clients begins when a byte is read. Requests behind one in progress, bodies that arrive faster than one thread reads them, and connections that wait to be accepted (1,024 a port) were outside of it.

Change: the receive buffers of all clients share a sixth of the memory that the process does not need itself. 8 KiB are set aside for each connection that may be open or wait; what is spare goes to new ones (up to 32 KiB, by the buffer of the listening socket, which they inherit) and to long bodies (up to 512 KiB, from the 8 KiB on that have been read, at most a quarter of what is left for each). At most 128 connections wait at a port. Bodies get 6/32 of the memory instead of 8/32, heads 2/32 instead of 4/32, unread answers 3/32 instead of 4/32, connections 7/32 instead of 8/32. `receive_buffers` decides this without sockets; a property test plays openings, long bodies and ends against the bound. The used bytes and their peak are metrics.

--- a/instance/src/activity.rs
+++ b/instance/src/activity.rs
@@ -14,6 +14,7 @@
 use camphorhold::coordination::serving::memory_account::Share;
 use camphorhold::transport::client::Charge;
 use camphorhold::transport::client::Connection;
+use camphorhold::transport::receive;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
@@ -30,6 +31,10 @@
 const READ_BUFFER_BYTES: usize = 8 << 10;
 const MAX_READ_BYTES: usize = READ_BUFFER_BYTES - 1;
 
+/// A body of which as much has been read gets a wider receive buffer. What the HTTP library reads
+/// behind a request without a body is less.
+const LONG_BODY_BYTES: usize = READ_BUFFER_BYTES;
+
 /// How much longer than the limit the head of a request may be, so that the limit may be taken as
 /// that of its header lines alone.
 const HEAD_SLACK_BYTES: usize = 1 << 10;
@@ -61,6 +66,9 @@
     head_since: Cell<Option<Instant>>,
     // The bytes read since the last response was ready.
     head_bytes: Cell<usize>,
+    // The bytes read of the body of the request in progress; `None` if it has none, or its receive
+    // buffer has been made wider.
+    body_bytes: Cell<Option<usize>>,
     // Whether the head of the request is longer than permitted. What follows is discarded.
     head_too_long: Cell<bool>,
     /// Wakes the connection when the head of a request was ended at the limit.
@@ -79,6 +87,7 @@
             idle_since: Cell::new(now),
             head_since: Cell::new(None),
             head_bytes: Cell::new(0),
+            body_bytes: Cell::new(None),
             head_too_long: Cell::new(false),
             refused: Notify::new(),
             close: Notify::new(),
@@ -87,8 +96,9 @@
 
     /// Records that the head of a request has been read. Returns when its first byte arrived, `None` if
     /// that was before the answer to the request before it.
-    pub fn begin(&self) -> Option<Instant> {
+    pub fn begin(&self, has_body: bool) -> Option<Instant> {
         self.busy.set(true);
+        self.body_bytes.set(has_body.then_some(0));
         self.head_since.take()
     }
 
@@ -99,6 +109,7 @@
         let _ = self.head_charge.borrow_mut().set(0);
         self.idle_since.set(now);
         self.head_bytes.set(0);
+        self.body_bytes.set(None);
         self.busy.set(false);
     }
 
@@ -123,6 +134,18 @@
         self.head_charge.borrow_mut().set(bytes)
     }
 
+    /// Records bytes of the body of a request. Returns the size of a wider receive buffer, if the body
+    /// is long and there is room for one.
+    fn on_body(&self, received: usize) -> Option<usize> {
+        let bytes = self.body_bytes.get()? + received;
+        if bytes < LONG_BODY_BYTES {
+            self.body_bytes.set(Some(bytes));
+            return None;
+        }
+        self.body_bytes.set(None);
+        self.client.wider_buffer()
+    }
+
     /// Returns whether a request is in progress.
     pub fn is_busy(&self) -> bool {
         self.busy.get()
@@ -178,6 +201,14 @@
         result
     }
 
+    fn widen(&self, bytes: usize) {
+        if let Err(error) = receive::set_size(self.stream.get_ref(), bytes) {
+            log::debug!(error:% = error; "cannot set the receive buffer of a connection");
+            return;
+        }
+        self.activity.client.set_buffer(bytes);
+    }
+
     /// Reads and drops what the caller sends, until it closes the connection or has sent enough.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [0; 4 << 10];
@@ -233,6 +264,9 @@
         let activity = &self.activity;
         if received > 0 {
             activity.client.on_transfer(received);
+            if let Some(bytes) = activity.on_body(received) {
+                self.widen(bytes);
+            }
         }
         if received > 0 && !activity.busy.get() {
             activity
--- a/instance/src/client_report.rs
+++ b/instance/src/client_report.rs
@@ -41,6 +41,11 @@
                 .set(gauge(usage.used));
             metrics::gauge!("camphorhold_client_peak_connections", "port" => name)
                 .set(gauge(usage.peak));
+            let buffers = clients.buffers(port);
+            metrics::gauge!("camphorhold_client_receive_buffer_bytes", "port" => name)
+                .set(gauge(buffers.used()));
+            metrics::gauge!("camphorhold_client_peak_receive_buffer_bytes", "port" => name)
+                .set(gauge(buffers.peak()));
         }
         if closed > self.closed || refused > self.refused {
             log::warn!(
--- a/instance/src/exposition.rs
+++ b/instance/src/exposition.rs
@@ -12,8 +12,8 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+use crate::listener::Listener;
 use crate::own_port;
-use crate::server;
 
 /// Upper bounds of the latency buckets, in seconds. They cover the latency objectives of 60 to
 /// 600 ms and the longest deadlines of a few seconds.
@@ -48,7 +48,7 @@
 /// Serves the metrics at `address`, on every path, until the process ends. If the address cannot be
 /// listened on, logs a warning and returns: the instance runs without serving metrics.
 pub async fn serve(address: SocketAddr, handle: PrometheusHandle, clients: Account) {
-    let listener = match server::listen(address) {
+    let listener = match Listener::bind(address, Port::Metrics, clients) {
         Ok(listener) => listener,
         Err(error) => {
             log::warn!(address:% = address, error:% = error; "cannot listen for metrics requests; running without a metrics endpoint");
@@ -56,5 +56,5 @@
         }
     };
     let respond = move |_: &_| Response::new(Full::new(Bytes::from(handle.render())));
-    own_port::serve(&listener, clients, Port::Metrics, respond).await;
+    own_port::serve(&listener, respond).await;
 }
--- a/instance/src/main.rs
+++ b/instance/src/main.rs
@@ -18,6 +18,7 @@
 mod gather;
 mod group;
 mod handover;
+mod listener;
 mod logging;
 mod merge;
 mod mirror;
--- a/instance/src/own_port.rs
+++ b/instance/src/own_port.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use camphorhold::coordination::serving::memory_account::Port;
-use camphorhold::transport::client::Account;
 use camphorhold_platform::header;
 use http_body_util::Full;
 use hyper::Request;
@@ -17,9 +16,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::listener::Listener;
 use crate::server::ACCEPT_PAUSE;
 use crate::shared::Phase;
 use crate::shared::Shared;
@@ -31,20 +30,21 @@
 
 /// Accepts connections at a port of the platform or the operators and answers their requests, until the
 /// task is aborted.
-pub async fn serve<F>(listener: &TcpListener, clients: Account, port: Port, respond: F)
+pub async fn serve<F>(listener: &Listener, respond: F)
 where
     F: Fn(&Request<Incoming>) -> Response<Full<Bytes>> + Clone + 'static,
 {
+    let port = listener.port();
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok(stream) => stream,
             Err(error) => {
                 log::warn!(port = port.name(), error:% = error; "cannot accept a connection; trying again after a pause");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        let Ok((client, closes_another)) = clients.open(port) else {
+        let Ok((client, closes_another)) = listener.open(&stream) else {
             continue;
         };
         let respond = respond.clone();
@@ -81,10 +81,9 @@
 
 /// Answers the readiness checks of the load balancer until the process ends: 200 while the instance
 /// takes new requests, 503 while it starts or stops.
-pub async fn serve_readiness(shared: Rc<Shared>, listener: Rc<TcpListener>) {
-    let clients = shared.clients.clone();
+pub async fn serve_readiness(shared: Rc<Shared>, listener: Rc<Listener>) {
     let respond = move |request: &Request<Incoming>| readiness_response(&shared, request);
-    serve(&listener, clients, Port::Readiness, respond).await;
+    serve(&listener, respond).await;
 }
 
 fn readiness_response(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use camphorhold::coordination::serving::memory_account::Port;
 use camphorhold::coordination::serving::shutdown::Shutdown;
 use camphorhold::state::time::SystemClock;
 use camphorhold::transport::supervisor;
@@ -28,6 +29,7 @@
 use crate::exposition;
 use crate::follower::Follower;
 use crate::freshness;
+use crate::listener::Listener;
 use crate::mirror::Mirror;
 use crate::own_port;
 use crate::probe;
@@ -117,9 +119,11 @@
     metrics: (SocketAddr, PrometheusHandle),
     (mut terminate, mut reload): (Signal, Signal),
 ) -> Result<(), StartError> {
-    let callers = listen(settings.caller_address)?;
-    let readiness = listen(settings.readiness_address)?;
-    let peers = listen(settings.peer_address)?;
+    let shared = Rc::new(Shared::new(settings, Arc::new(SystemClock)));
+    let settings = &shared.settings;
+    let callers = listen(&shared, settings.caller_address, Port::Callers)?;
+    let readiness = listen(&shared, settings.readiness_address, Port::Readiness)?;
+    let peers = listen(&shared, settings.peer_address, Port::Instances)?;
     log::info!(
         instance = &*settings.name,
         domain = &*settings.domain,
@@ -128,7 +132,6 @@
         callers:% = settings.caller_address;
         "started"
     );
-    let shared = Rc::new(Shared::new(settings, Arc::new(SystemClock)));
     let connections = Rc::new(Connections::default());
     let mirror = Rc::new(RefCell::new(Mirror::new(Rc::clone(&shared))));
     let state = Rc::clone(&shared);
@@ -207,8 +210,9 @@
     }))
 }
 
-fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, StartError> {
-    server::listen(address).map_err(|source| StartError::Listen { address, source })
+fn listen(shared: &Shared, address: SocketAddr, port: Port) -> Result<Listener, StartError> {
+    Listener::bind(address, port, shared.clients.clone())
+        .map_err(|source| StartError::Listen { address, source })
 }
 
 async fn wait_for_termination(
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -4,14 +4,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use camphorhold::coordination::serving::memory_account::Port;
 use camphorhold::coordination::serving::precedence::Order;
 use camphorhold::state::plan::Limits;
 use camphorhold::transport::client::Connection;
@@ -21,6 +18,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -28,8 +26,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use slab::Slab;
-use tokio::net::TcpListener;
-use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use crate::activity::Activity;
@@ -37,15 +33,13 @@
 use crate::answer::close_after;
 use crate::answer::closing_response;
 use crate::answer::empty_response;
+use crate::listener::Listener;
 use crate::request;
 use crate::request::Origin;
 use crate::request::Source;
 use crate::shared::Phase;
 use crate::shared::Shared;
 
-/// The most connections that wait to be accepted, per listener.
-const BACKLOG: u32 = 1_024;
-
 /// How long the rest of a refused request is read after the answer.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
@@ -118,34 +112,17 @@
     }
 }
 
-/// Listens on an IPv4 address. The address may still have connections of an earlier process in
-/// `TIME_WAIT`.
-///
-/// # Errors
-///
-/// Returns an error if the address is IPv6, does not belong to the host or is in use.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Accepts connections and serves their requests, until the task is aborted.
 pub async fn serve_requests(
     shared: Rc<Shared>,
     connections: Rc<Connections>,
-    listener: Rc<TcpListener>,
+    listener: Rc<Listener>,
     source: Source,
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let port = match source {
-                    Source::Caller => Port::Callers,
-                    Source::Instance | Source::Relay => Port::Instances,
-                };
-                let Ok((client, closes_another)) = shared.clients.open(port) else {
+            Ok(stream) => {
+                let Ok((client, closes_another)) = listener.open(&stream) else {
                     // All connections have a request in progress. The port stays in use by those.
                     drop(stream);
                     tokio::task::yield_now().await;
@@ -184,7 +161,7 @@
     let stream = ActivityStream::new(stream, state, recorded, source);
     let first = Cell::new(true);
     let service = service_fn(|request: Request<Incoming>| {
-        let arrived = activity.begin();
+        let arrived = activity.begin(!request.body().is_end_stream());
         let first = first.replace(false);
         let origin = Origin {
             arrived: arrived.unwrap_or_else(|| shared.now()),
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -23,6 +23,7 @@
 use camphorhold::coordination::serving::precedence::Precedence;
 use camphorhold::coordination::serving::rate_limit::Grantor;
 use camphorhold::coordination::serving::reachability::Reachability;
+use camphorhold::coordination::serving::receive_buffers::ReceiveLimits;
 use camphorhold::coordination::serving::split::Split;
 use camphorhold::coordination::serving::watch;
 use camphorhold::state::plan::Plan;
@@ -195,7 +196,8 @@
         let instances = Instances::new(settings.name.clone(), settings.domain.clone());
         let retry_budgets = RetryBudgets::new(settings.bounds.retries, INITIAL_INSTANCES, now);
         let limits = Limits::of_machine(settings.memory_bytes, settings.max_descriptors);
-        let clients = Account::new(limits, Arc::clone(&clock));
+        let receive = ReceiveLimits::of_machine(settings.memory_bytes, &limits);
+        let clients = Account::with_buffers(limits, &receive, Arc::clone(&clock));
         let read_bytes = settings.memory_bytes / READ_MEMORY_DIVISOR;
         let usage = usage::State::new(&settings, &*clock);
         Self {
--- a/lib/src/coordination/serving/memory_account.rs
+++ b/lib/src/coordination/serving/memory_account.rs
@@ -113,6 +113,18 @@
     }
 }
 
+/// Returns the part of a machine's memory that the process does not need itself.
+pub(crate) fn client_bytes(memory_bytes: usize) -> usize {
+    let least = memory_bytes / MIN_CLIENT_DIVISOR;
+    memory_bytes.saturating_sub(BASE_BYTES).max(least)
+}
+
+/// Returns how many of a machine's descriptors are for sockets.
+pub(crate) fn sockets(max_descriptors: usize) -> usize {
+    let rest = max_descriptors.saturating_sub(FILE_DESCRIPTORS);
+    rest.max(max_descriptors / 4)
+}
+
 /// How much clients may make an instance hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -124,22 +136,19 @@
 
 impl Limits {
     /// Returns the limits for a machine with that much memory and that many descriptors. Of the memory
-    /// that the process does not need itself, a quarter each is for connections and bodies, and an
-    /// eighth each for heads and unread answers. The rest is for answers of leafs and the allocator.
+    /// that the process does not need itself, 7/32 are for connections, 6/32 for bodies, 2/32 for heads
+    /// and 3/32 for unread answers. The rest is for receive buffers, answers of leafs and the allocator.
     #[must_use]
     pub fn of_machine(memory_bytes: usize, max_descriptors: usize) -> Self {
-        let least = memory_bytes / MIN_CLIENT_DIVISOR;
-        let bytes = memory_bytes.saturating_sub(BASE_BYTES).max(least);
-        let in_memory = bytes / 4 / CONNECTION_BYTES;
-        let sockets = max_descriptors
-            .saturating_sub(FILE_DESCRIPTORS)
-            .max(max_descriptors / 4);
+        let bytes = client_bytes(memory_bytes);
+        let in_memory = bytes / 32 * 7 / CONNECTION_BYTES;
+        let sockets = sockets(max_descriptors);
         let own = (sockets / 16).clamp(2, MAX_OWN_CONNECTIONS);
         Self {
-            bytes: [bytes / 8, bytes / 4, bytes / 8],
+            bytes: [bytes / 32 * 2, bytes / 32 * 6, bytes / 32 * 3],
             connections: [
-                (in_memory * 2 / 3).min(sockets * 3 / 8).max(2),
-                (in_memory / 3).min(sockets / 4).max(2),
+                (in_memory * 2 / 3).min(sockets * 5 / 16).max(2),
+                (in_memory / 3).min(sockets * 3 / 16).max(2),
                 own,
                 own,
             ],
--- a/lib/src/coordination/serving/mod.rs
+++ b/lib/src/coordination/serving/mod.rs
@@ -17,6 +17,7 @@
 pub mod precedence;
 pub mod rate_limit;
 pub mod reachability;
+pub mod receive_buffers;
 pub mod retry_budget;
 pub mod shard_load;
 pub mod shutdown;
--- a/lib/src/transport/client.rs
+++ b/lib/src/transport/client.rs
@@ -1,5 +1,6 @@
 //! Connections of clients, with what they make the process hold.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -16,12 +17,18 @@
 use crate::coordination::serving::memory_account::Refused;
 use crate::coordination::serving::memory_account::Share;
 use crate::coordination::serving::memory_account::Usage;
+use crate::coordination::serving::receive_buffers::BufferPool;
+use crate::coordination::serving::receive_buffers::MAX_INITIAL_BYTES;
+use crate::coordination::serving::receive_buffers::ReceiveLimits;
 use crate::state::time::Clock;
 
 #[derive(Debug)]
 struct State {
     account: MemoryAccount,
     closed: HashMap<ConnectionKey, Arc<Notify>>,
+    // The receive buffers at each port, in the order of `Port::ALL`, and how many connections may wait.
+    buffers: [BufferPool; 4],
+    waiting: [usize; 4],
 }
 
 /// The account of all clients of a process. Clones share it.
@@ -41,12 +48,21 @@
 }
 
 impl Account {
-    /// Creates an account without connections.
+    /// Creates an account without connections, whose receive buffers have the smallest size.
     #[must_use]
     pub fn new(limits: Limits, clock: Arc<dyn Clock>) -> Self {
+        let receive = ReceiveLimits::of_machine(0, &limits);
+        Self::with_buffers(limits, &receive, clock)
+    }
+
+    /// Creates an account without connections.
+    #[must_use]
+    pub fn with_buffers(limits: Limits, receive: &ReceiveLimits, clock: Arc<dyn Clock>) -> Self {
         let state = State {
             account: MemoryAccount::new(limits),
             closed: HashMap::new(),
+            buffers: Port::ALL.map(|port| receive.pool(&limits, port)),
+            waiting: receive.waiting,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -75,10 +91,33 @@
             account: self.clone(),
             key,
             closed,
+            port,
+            buffer_bytes: Cell::new(0),
         };
         Ok((connection, close.is_some()))
     }
 
+    /// Returns the receive buffer of further connections at a port, in bytes: what those that may wait
+    /// to be accepted can have together.
+    #[must_use]
+    pub fn initial_buffer(&self, port: Port) -> usize {
+        let state = self.lock();
+        let waiting = state.waiting[port as usize] + 1;
+        state.buffers[port as usize].size_for(waiting, MAX_INITIAL_BYTES)
+    }
+
+    /// Returns how many connections may wait to be accepted at a port.
+    #[must_use]
+    pub fn waiting(&self, port: Port) -> u32 {
+        u32::try_from(self.lock().waiting[port as usize]).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the receive buffers at a port.
+    #[must_use]
+    pub fn buffers(&self, port: Port) -> BufferPool {
+        self.lock().buffers[port as usize].clone()
+    }
+
     /// Returns the use of a share.
     #[must_use]
     pub fn share(&self, share: Share) -> Usage {
@@ -106,9 +145,24 @@
     account: Account,
     key: ConnectionKey,
     closed: Arc<Notify>,
+    port: Port,
+    buffer_bytes: Cell<usize>,
 }
 
 impl Connection {
+    /// Records the size of its receive buffer, in bytes.
+    pub fn set_buffer(&self, bytes: usize) {
+        let pool = &mut self.account.lock().buffers[self.port as usize];
+        pool.release(self.buffer_bytes.replace(bytes));
+        pool.take(bytes);
+    }
+
+    /// Returns the size that its receive buffer may have from now on, if that is a larger one.
+    #[must_use]
+    pub fn wider_buffer(&self) -> Option<usize> {
+        self.account.lock().buffers[self.port as usize].wider(self.buffer_bytes.get())
+    }
+
     /// Waits until the connection has to be closed because of what it holds.
     pub async fn closed(&self) {
         self.closed.notified().await;
@@ -161,6 +215,7 @@
     fn drop(&mut self) {
         let state = &mut *self.account.lock();
         state.closed.remove(&self.key);
+        state.buffers[self.port as usize].release(self.buffer_bytes.get());
         state.account.on_end(self.key);
     }
 }
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -7,5 +7,6 @@
 pub mod leaf;
 pub mod peer;
 pub mod read_budget;
+pub mod receive;
 pub mod store;
 pub mod supervisor;
