instance: bound the connections that it opens itself

What was seen: queries over many shards whose leafs do not answer hold a connection to a leaf of each shard. 30 ordinary callers, whose answers in time raise the concurrency limits of 20 shards, and then 480 clients with one query each: 735 descriptors on a machine of 400. Without descriptors the instance neither accepts callers nor reaches leafs, and takes the failed connections for leafs that are down.

Cause: the connections to leafs and other instances were in no account, nor was what they receive while the process does not get to run.

Change: `ServerBuffers` counts these connections. There may be as many as descriptors are left beside those of all clients, and as a sixteenth of the memory holds at 20 KiB each (435 on the smallest machines of the platform, 755 on those with 260 MB). Beyond that an idle connection is closed; if there is none, the call ends as one that was not sent, without blame for the leaf. The receive buffers of connections to servers share a sixteenth of the memory, taken from the eighth for answers that are being read: 128 KiB each in calm, 8 KiB at least. The few connections to the store have 128 KiB each, fixed.

--- a/instance/src/call.rs
+++ b/instance/src/call.rs
@@ -449,7 +449,11 @@
         connection
     } else {
         metrics::counter!("camphorhold_leaf_connections_total").increment(1);
-        let opened = Connection::open(address, TCP_OPTIONS).await;
+        // Says nothing about the leaf.
+        let buffer = shared
+            .take_server_buffer()
+            .map_err(|error| http::Error::Connect(std::io::Error::other(error)))?;
+        let opened = Connection::open_with_buffer(address, TCP_OPTIONS, buffer).await;
         shared.on_connect(leaf, opened.is_ok());
         opened?
     };
--- a/instance/src/client_report.rs
+++ b/instance/src/client_report.rs
@@ -4,6 +4,7 @@
 use camphorhold::coordination::serving::memory_account::Share;
 use camphorhold::coordination::serving::memory_account::Usage;
 use camphorhold::transport::client::Account;
+use camphorhold::transport::receive::ServerBuffers;
 
 /// What has been published and logged so far.
 #[derive(Debug, Default)]
@@ -13,9 +14,9 @@
 }
 
 impl ClientReport {
-    /// Publishes the use of each share and port. Logs how many connections were closed and refused
+    /// Publishes the use of each share and port, and of connections to servers. Logs how many connections were closed and refused
     /// since the last time, if there were any.
-    pub fn publish(&mut self, clients: &Account) {
+    pub fn publish(&mut self, clients: &Account, servers: &ServerBuffers) {
         let (mut closed, mut refused) = (0, 0);
         let mut add = |usage: Usage, cause: &'static str| {
             closed += usage.closed;
@@ -47,6 +48,8 @@
             metrics::gauge!("camphorhold_client_peak_receive_buffer_bytes", "port" => name)
                 .set(gauge(buffers.peak()));
         }
+        metrics::gauge!("camphorhold_server_connections").set(gauge(servers.open()));
+        metrics::gauge!("camphorhold_server_peak_connections").set(gauge(servers.peak()));
         if closed > self.closed || refused > self.refused {
             log::warn!(
                 closed = closed - self.closed,
--- a/instance/src/peer.rs
+++ b/instance/src/peer.rs
@@ -1,5 +1,6 @@
 //! Connections to other instances.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,7 +26,7 @@
 pub async fn connect(shared: &Shared, address: SocketAddr) -> Result<Connection, Error> {
     match shared.peer_pool.take(address, shared.now()) {
         Some(connection) => Ok(connection),
-        None => open(address).await,
+        None => open(shared, address).await,
     }
 }
 
@@ -34,8 +35,10 @@
 /// # Errors
 ///
 /// Returns an error if the instance does not accept the connection.
-pub async fn open(address: SocketAddr) -> Result<Connection, Error> {
-    Connection::open(address, TCP_OPTIONS).await
+pub async fn open(shared: &Shared, address: SocketAddr) -> Result<Connection, Error> {
+    let buffer = shared.take_server_buffer();
+    let buffer = buffer.map_err(|error| Error::Connect(io::Error::other(error)))?;
+    Connection::open_with_buffer(address, TCP_OPTIONS, buffer).await
 }
 
 /// Keeps a connection for the next request, if it can carry one.
--- a/instance/src/pool.rs
+++ b/instance/src/pool.rs
@@ -82,6 +82,25 @@
         connections.push(Idle { connection, until });
     }
 
+    /// Closes the idle connection that would be closed first. Returns whether there was one.
+    pub fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle
+            .iter()
+            .flat_map(|(server, connections)| {
+                let numbered = connections.iter().enumerate();
+                numbered.map(|(index, entry)| (entry.until, *server, index))
+            })
+            .min_by_key(|(until, ..)| *until);
+        let Some((_, server, index)) = oldest else {
+            return false;
+        };
+        if let Some(connections) = idle.get_mut(&server) {
+            connections.remove(index);
+        }
+        true
+    }
+
     /// Closes all idle connections to a server.
     pub fn close(&self, server: K) {
         self.idle.borrow_mut().remove(&server);
--- a/instance/src/process.rs
+++ b/instance/src/process.rs
@@ -248,7 +248,7 @@
         let limits = shared.plan.borrow().as_ref().map(|plan| plan.limits());
         connections.sweep(limits, now);
         freshness::report(&shared, &mut is_proven);
-        client_report.publish(&shared.clients);
+        client_report.publish(&shared.clients, &shared.server_buffers);
         if let Some(age) = shared.watch.borrow().confirmation_age(now) {
             metrics::gauge!("camphorhold_store_confirmation_age_seconds").set(age.as_secs_f64());
         }
--- a/instance/src/relay.rs
+++ b/instance/src/relay.rs
@@ -216,7 +216,7 @@
     // As with leafs, a request that may run at most once gets a new connection.
     let mut connection = match forwarded.route.semantics {
         CallSemantics::Idempotent => peer::connect(shared, address).await?,
-        CallSemantics::AtMostOnce => peer::open(address).await?,
+        CallSemantics::AtMostOnce => peer::open(shared, address).await?,
     };
     let mut request = forwarded.to_request();
     let headers = request.headers_mut();
--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -31,6 +31,9 @@
 use camphorhold::state::time::Clock;
 use camphorhold::transport::client::Account;
 use camphorhold::transport::read_budget::ReadBudget;
+use camphorhold::transport::receive::Exhausted;
+use camphorhold::transport::receive::ServerBuffer;
+use camphorhold::transport::receive::ServerBuffers;
 use camphorhold_platform::settings::Bounds;
 use camphorhold_platform::settings::Settings;
 use camphorhold_platform::store::Era;
@@ -139,6 +142,8 @@
     pub read_budget: ReadBudget,
     /// What clients make the process hold.
     pub clients: Account,
+    /// The connections to leafs and other instances, with their receive buffers.
+    pub server_buffers: ServerBuffers,
     /// Which requests give way while there is no room for all.
     pub precedence: RefCell<Precedence>,
     /// Idle connections to leafs.
@@ -196,9 +201,11 @@
         let instances = Instances::new(settings.name.clone(), settings.domain.clone());
         let retry_budgets = RetryBudgets::new(settings.bounds.retries, INITIAL_INSTANCES, now);
         let limits = Limits::of_machine(settings.memory_bytes, settings.max_descriptors);
-        let receive = ReceiveLimits::of_machine(settings.memory_bytes, &limits);
+        let receive =
+            ReceiveLimits::of_machine(settings.memory_bytes, settings.max_descriptors, &limits);
         let clients = Account::with_buffers(limits, &receive, Arc::clone(&clock));
-        let read_bytes = settings.memory_bytes / READ_MEMORY_DIVISOR;
+        let answer_bytes = settings.memory_bytes / READ_MEMORY_DIVISOR;
+        let read_bytes = answer_bytes.saturating_sub(receive.server_bytes);
         let usage = usage::State::new(&settings, &*clock);
         Self {
             bounds: Cell::new(settings.bounds),
@@ -222,6 +229,7 @@
             alarms: RefCell::new(Alarms::new(MAX_SUSPECTS)),
             read_budget: ReadBudget::new(read_bytes),
             clients,
+            server_buffers: ServerBuffers::new(receive.server_pool(), receive.servers),
             precedence: RefCell::default(),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
@@ -283,6 +291,24 @@
         self.plan.borrow().clone()
     }
 
+    /// Takes a receive buffer for a connection to a server. If there are too many connections, closes an
+    /// idle one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if all connections are in use.
+    pub fn take_server_buffer(&self) -> Result<ServerBuffer, Exhausted> {
+        self.server_buffers.take().or_else(|exhausted| {
+            let has_closed = self.leaf_pool.close_oldest() || self.peer_pool.close_oldest();
+            if has_closed {
+                self.server_buffers.take()
+            } else {
+                metrics::counter!("camphorhold_connections_refused_total").increment(1);
+                Err(exhausted)
+            }
+        })
+    }
+
     /// Returns the version of the configuration in force, or 0 if there is none yet.
     pub fn plan_version(&self) -> u64 {
         self.plan.borrow().as_ref().map_or(0, |plan| plan.version())
--- a/instance/src/tokens.rs
+++ b/instance/src/tokens.rs
@@ -315,7 +315,7 @@
         notices: Vec::new(),
     };
     let exchange = async {
-        let connection = peer::open(address).await?;
+        let connection = peer::open(shared, address).await?;
         send_on(shared, address, connection, &message).await
     };
     let result = tokio::time::timeout(timeout, exchange).await;
--- a/instance/tests/clients.rs
+++ b/instance/tests/clients.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 
 use camphorhold_testutils::platform::leaf::Behaviour;
+use futures::future::join_all;
 use support::crowd::BODY_BYTES;
 use support::crowd::COUNT_INTERVAL;
 use support::crowd::Kind;
+use support::crowd::MAX_DESCRIPTORS;
 use support::crowd::Target;
 use support::crowd::run_alone;
+use support::exchange;
 use support::wait_until;
 use tokio::io::AsyncWriteExt;
 
@@ -26,6 +29,18 @@
 const SILENT_REQUESTS: usize = 6;
 const LARGE_ANSWER_BYTES: usize = 1 << 20;
 
+/// The ordinary callers, the queries of each, and for how long no leaf answers then.
+const CALLERS: usize = 30;
+const QUERIES: usize = 100;
+const HANG_TIME: Duration = Duration::from_secs(2);
+
+/// The services of a query. A connection to each of them for each connection of a caller is more than
+/// the descriptors of the machine.
+const SERVICES: [&str; 20] = [
+    "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9", "s10", "s11", "s12", "s13", "s14", "s15",
+    "s16", "s17", "s18", "s19", "s20",
+];
+
 async fn check_callers(kind: Kind) {
     let _alone = run_alone().await;
     let mut target = Target::start().await;
@@ -156,6 +171,34 @@
     assert!(exceeded.is_empty(), "{exceeded:?}");
 }
 
+/// Guards against a process without free descriptors because each query opens a connection to a leaf
+/// of each shard.
+#[tokio::test(flavor = "multi_thread")]
+async fn queries_over_many_shards_stay_within_the_machine() {
+    let _alone = run_alone().await;
+    let mut target = Target::start_for(MAX_DESCRIPTORS, &SERVICES).await;
+    // Answers in time raise the number of queries that the instance sends to a shard at a time.
+    let callers = (0..CALLERS).map(|_| async {
+        let mut connection = target.instance.connect().await;
+        for _ in 0..QUERIES {
+            // Some are refused.
+            let _ = exchange(&mut connection, "ordinary", "/all/x").await;
+        }
+    });
+    join_all(callers).await;
+    for leaf in &target.platform.leafs {
+        leaf.set_behaviour(Behaviour::Hang);
+    }
+    let address = target.instance.caller_address();
+    let clients = target.send(address, Kind::Query, "").await;
+    tokio::time::sleep(HANG_TIME).await;
+    for leaf in &target.platform.leafs {
+        leaf.set_behaviour(Behaviour::Answer);
+    }
+    let exceeded = target.check("queries over many shards", clients).await;
+    assert_eq!(exceeded, None);
+}
+
 /// Guards against clients that use up the descriptors at the ports for readiness checks and metrics.
 #[tokio::test(flavor = "multi_thread")]
 async fn clients_at_the_other_ports_stay_within_the_machine() {
--- a/instance/tests/unread.rs
+++ b/instance/tests/unread.rs
@@ -1,5 +1,6 @@
-//! Tests of instances whose clients send more than the instance reads: further requests behind one in
-//! progress, and bytes on connections that it has not accepted. Bytes that have been received and not read count as its memory. The
+//! Tests of instances whose clients and servers send more than the instance reads: further requests
+//! behind one in progress, bytes on connections that it has not accepted, and long answers while the
+//! process does not get to run. Bytes that have been received and not read count as its memory. The
 //! tests run one at a time, as those of `clients.rs`.
 
 mod support;
@@ -8,15 +9,22 @@
 
 use camphorhold_testutils::platform::leaf::Behaviour;
 use futures::future::join_all;
+use support::crowd::CLIENTS;
 use support::crowd::Kind;
 use support::crowd::MANY_DESCRIPTORS;
 use support::crowd::Target;
 use support::crowd::run_alone;
 use support::wait_until;
+use tokio::io::AsyncWriteExt;
 
 /// How long clients and leafs send to a process that does not run.
 const FROZEN_TIME: Duration = Duration::from_secs(2);
 
+/// The requests in progress whose answers arrive while the process does not run, and the length of an
+/// answer.
+const HELD_REQUESTS: usize = 400;
+const HELD_ANSWER_BYTES: usize = 1 << 20;
+
 /// The clients that do not read their answers, the requests of each, and the length of the heads of
 /// their answers.
 const SILENT_CLIENTS: usize = 8;
@@ -148,6 +156,35 @@
     assert_eq!(exceeded, None);
 }
 
+/// Guards against answers of leafs that wait in the sockets, while the process does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_of_leafs_that_wait_stay_within_the_machine() {
+    let _alone = run_alone().await;
+    let mut target = Target::start_with(MANY_DESCRIPTORS).await;
+    let leaf = target.platform.leafs[0].clone();
+    leaf.set_behaviour(Behaviour::Held(HELD_ANSWER_BYTES));
+    let mut clients = Vec::new();
+    for _ in 0..HELD_REQUESTS.min(CLIENTS) {
+        let mut stream = target.instance.connect_raw().await;
+        let request = "GET /one/x HTTP/1.1\r\nHost: q.example\r\n\
+            X-Camphorhold-Request-Id: client\r\n\r\n";
+        // The instance may have closed it.
+        let _ = stream.write_all(request.as_bytes()).await;
+        clients.push(stream);
+    }
+    wait_until("requests have arrived at the leaf", || async {
+        !leaf.runs().is_empty()
+    })
+    .await;
+    target.instance.freeze();
+    leaf.set_behaviour(Behaviour::Answer);
+    tokio::time::sleep(FROZEN_TIME).await;
+    target.count();
+    target.instance.thaw();
+    let exceeded = target.check("answers that wait", clients).await;
+    assert_eq!(exceeded, None);
+}
+
 /// Guards against answers without a body, whose heads are held for as long as nobody reads them.
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_of_answers_that_are_not_read_stay_within_the_machine() {
--- a/lib/src/coordination/serving/memory_account.rs
+++ b/lib/src/coordination/serving/memory_account.rs
@@ -137,7 +137,8 @@
 impl Limits {
     /// Returns the limits for a machine with that much memory and that many descriptors. Of the memory
     /// that the process does not need itself, 7/32 are for connections, 6/32 for bodies, 2/32 for heads
-    /// and 3/32 for unread answers. The rest is for receive buffers, answers of leafs and the allocator.
+    /// and 3/32 for unread answers. The rest is for receive buffers, connections to servers, answers
+    /// of leafs and the allocator.
     #[must_use]
     pub fn of_machine(memory_bytes: usize, max_descriptors: usize) -> Self {
         let bytes = client_bytes(memory_bytes);
--- a/lib/src/coordination/serving/receive_buffers.rs
+++ b/lib/src/coordination/serving/receive_buffers.rs
@@ -5,9 +5,11 @@
 //! together are bounded. Each socket that may be open has the smallest size set aside. The rest goes to
 //! those that need more, in calm to all of them.
 
+use super::memory_account::CONNECTION_BYTES;
 use super::memory_account::Limits;
 use super::memory_account::Port;
 use super::memory_account::client_bytes;
+use super::memory_account::sockets;
 
 /// The smallest receive buffer, in bytes as the operating system counts them. It holds the head of a
 /// usual request.
@@ -20,16 +22,30 @@
 /// The largest receive buffer. Half of it is for data, as much as the longest body usually permitted.
 pub const MAX_BYTES: usize = 512 << 10;
 
+/// The largest receive buffer of a connection to a server: what the operating system would use.
+pub const MAX_SERVER_BYTES: usize = 128 << 10;
+
 /// The part of the spare bytes that one connection may take, as a divisor.
 const WIDENING_DIVISOR: usize = 4;
 
+/// How many connections to servers the spare bytes have to be sufficient for at least.
+const SERVER_DIVISOR: usize = 16;
+
 /// The most connections that wait to be accepted, per port, and the least.
 const MAX_WAITING: usize = 128;
 const MIN_WAITING: usize = 8;
 
-/// The memory for the receive buffers of clients, as a divisor of what the process does not need
-/// itself.
+/// The memory for the receive buffers of clients, for those of connections to servers and for these
+/// connections themselves, as divisors of what the process does not need itself.
 const CLIENT_DIVISOR: usize = 6;
+const SERVER_BUFFER_DIVISOR: usize = 16;
+const SERVER_CONNECTION_DIVISOR: usize = 16;
+
+/// The descriptors of listening sockets, of the store and of the runtime.
+const OWN_SOCKETS: usize = 32;
+
+/// The least part of the sockets that is for connections to servers, as a divisor.
+const MIN_SERVERS_DIVISOR: usize = 8;
 
 /// The receive buffers of some sockets, which share a number of bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -109,13 +125,18 @@
     pub bytes: [usize; 4],
     /// How many connections may wait to be accepted at each port.
     pub waiting: [usize; 4],
+    /// The bytes of connections to servers.
+    pub server_bytes: usize,
+    /// The most connections to servers.
+    pub servers: usize,
 }
 
 impl ReceiveLimits {
-    /// Returns the limits for a machine with that much memory, whose clients have `limits`. At the ports for readiness checks and metrics, all connections have the smallest
+    /// Returns the limits for a machine with that much memory and that many descriptors, whose clients
+    /// have `limits`. At the ports for readiness checks and metrics, all connections have the smallest
     /// size; the two others share what is left evenly.
     #[must_use]
-    pub fn of_machine(memory_bytes: usize, limits: &Limits) -> Self {
+    pub fn of_machine(memory_bytes: usize, max_descriptors: usize, limits: &Limits) -> Self {
         let memory = client_bytes(memory_bytes);
         let waiting = limits
             .connections
@@ -127,7 +148,17 @@
         let spare = (memory / CLIENT_DIVISOR).saturating_sub(bytes.iter().sum());
         bytes[Port::Callers as usize] += spare / 2;
         bytes[Port::Instances as usize] += spare / 2;
-        Self { bytes, waiting }
+        let sockets = sockets(max_descriptors);
+        let rest = sockets.saturating_sub(limits.connections.iter().sum::<usize>() + OWN_SOCKETS);
+        let in_memory = memory / SERVER_CONNECTION_DIVISOR / CONNECTION_BYTES;
+        Self {
+            bytes,
+            waiting,
+            server_bytes: memory / SERVER_BUFFER_DIVISOR,
+            servers: in_memory
+                .min(rest.max(sockets / MIN_SERVERS_DIVISOR))
+                .max(2),
+        }
     }
 
     /// Returns the pool of a port.
@@ -136,6 +167,12 @@
         let clients = clients(limits, self.waiting, port);
         BufferPool::new(self.bytes[port as usize], clients)
     }
+
+    /// Returns the pool of the connections to servers.
+    #[must_use]
+    pub fn server_pool(&self) -> BufferPool {
+        BufferPool::new(self.server_bytes, self.servers)
+    }
 }
 
 /// Returns how many connections there may be at a port. One more than the operating system is told may
@@ -143,3 +180,9 @@
 fn clients(limits: &Limits, waiting: [usize; 4], port: Port) -> usize {
     limits.connections[port as usize] + waiting[port as usize] + 1
 }
+
+/// Returns the size for the next connections to servers.
+#[must_use]
+pub fn server_size(pool: &BufferPool) -> usize {
+    pool.size_for(SERVER_DIVISOR, MAX_SERVER_BYTES)
+}
--- a/lib/src/transport/client.rs
+++ b/lib/src/transport/client.rs
@@ -51,7 +51,7 @@
     /// Creates an account without connections, whose receive buffers have the smallest size.
     #[must_use]
     pub fn new(limits: Limits, clock: Arc<dyn Clock>) -> Self {
-        let receive = ReceiveLimits::of_machine(0, &limits);
+        let receive = ReceiveLimits::of_machine(0, 0, &limits);
         Self::with_buffers(limits, &receive, clock)
     }
 
--- a/lib/src/transport/http.rs
+++ b/lib/src/transport/http.rs
@@ -26,12 +26,16 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use thiserror::Error;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use super::body;
 use super::head_limit;
 use super::head_limit::Allowance;
 use super::read_budget::ReadBudget;
+use super::receive;
+use super::receive::ServerBuffer;
+use crate::coordination::serving::receive_buffers::MAX_SERVER_BYTES;
 
 /// The longest head of an answer, interim heads before it included. The longest proper one is that of a merged answer, with a
 /// signature of some 40 bytes for each of a thousand shards.
@@ -107,6 +111,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
     head_allowance: Allowance,
+    // Returned to its pool with the connection.
+    _buffer: Option<ServerBuffer>,
 }
 
 impl std::fmt::Debug for Connection {
@@ -123,13 +129,24 @@
     /// Returns an error if the server does not accept the connection within the time-out, or if the
     /// socket options cannot be set.
     pub async fn open(address: SocketAddr, options: TcpOptions) -> Result<Self, Error> {
-        let connecting = TcpStream::connect(address);
-        let stream = tokio::time::timeout(options.connect_timeout, connecting)
-            .await
-            .map_err(|_| Error::ConnectTimeout)?
-            .map_err(Error::Connect)?;
+        let stream = connect(address, options, MAX_SERVER_BYTES).await?;
         configure(&stream, options).map_err(Error::Connect)?;
-        Self::start(stream).await
+        Self::start(stream, None).await
+    }
+
+    /// Connects to a server as [`Self::open`] does, with this receive buffer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Self::open`].
+    pub async fn open_with_buffer(
+        address: SocketAddr,
+        options: TcpOptions,
+        buffer: ServerBuffer,
+    ) -> Result<Self, Error> {
+        let stream = connect(address, options, buffer.bytes()).await?;
+        configure(&stream, options).map_err(Error::Connect)?;
+        Self::start(stream, Some(buffer)).await
     }
 
     /// Connects to a server as [`Self::open`] does. When the connection is dropped, it is reset, so
@@ -139,19 +156,15 @@
     ///
     /// Returns the errors of [`Self::open`].
     pub async fn open_with_reset(address: SocketAddr, options: TcpOptions) -> Result<Self, Error> {
-        let connecting = TcpStream::connect(address);
-        let stream = tokio::time::timeout(options.connect_timeout, connecting)
-            .await
-            .map_err(|_| Error::ConnectTimeout)?
-            .map_err(Error::Connect)?;
+        let stream = connect(address, options, MAX_SERVER_BYTES).await?;
         SockRef::from(&stream)
             .set_linger(Some(Duration::ZERO))
             .and_then(|()| configure(&stream, options))
             .map_err(Error::Connect)?;
-        Self::start(stream).await
+        Self::start(stream, None).await
     }
 
-    async fn start(stream: TcpStream) -> Result<Self, Error> {
+    async fn start(stream: TcpStream, buffer: Option<ServerBuffer>) -> Result<Self, Error> {
         let (stream, head_allowance) = head_limit::Stream::new(stream);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -162,6 +175,7 @@
             sender,
             driver: Box::pin(driver),
             head_allowance,
+            _buffer: buffer,
         })
     }
 
@@ -257,6 +271,27 @@
     }
 }
 
+/// Connects a socket with a receive buffer of that many bytes.
+async fn connect(
+    address: SocketAddr,
+    options: TcpOptions,
+    buffer_bytes: usize,
+) -> Result<TcpStream, Error> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.map_err(Error::Connect)?;
+    // Without it, only the bound on what waits in the socket is higher.
+    if let Err(error) = receive::set_size(&socket, buffer_bytes) {
+        log::debug!(error:% = error; "cannot set the receive buffer of a connection to a server");
+    }
+    tokio::time::timeout(options.connect_timeout, socket.connect(address))
+        .await
+        .map_err(|_| Error::ConnectTimeout)?
+        .map_err(Error::Connect)
+}
+
 fn configure(stream: &TcpStream, options: TcpOptions) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/lib/src/transport/receive.rs
+++ b/lib/src/transport/receive.rs
@@ -1,9 +1,15 @@
 //! Receive buffers of sockets, as the operating system counts them.
 
+use std::cell::RefCell;
 use std::io;
 use std::os::fd::AsFd;
+use std::rc::Rc;
 
 use socket2::SockRef;
+use thiserror::Error;
+
+use crate::coordination::serving::receive_buffers::BufferPool;
+use crate::coordination::serving::receive_buffers::server_size;
 
 /// The operating system doubles the size that it is told, to have room for its own data.
 const SYSTEM_FACTOR: usize = 2;
@@ -32,3 +38,93 @@
 {
     SockRef::from(socket).set_recv_buffer_size(bytes / SYSTEM_FACTOR)
 }
+
+/// The error returned when there are too many connections to servers.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("too many connections to servers")]
+pub struct Exhausted;
+
+#[derive(Debug)]
+struct State {
+    pool: BufferPool,
+    open: usize,
+    peak: usize,
+    max_open: usize,
+}
+
+/// The connections of a process to servers, with their receive buffers. Clones share them.
+#[derive(Clone, Debug)]
+pub struct ServerBuffers {
+    state: Rc<RefCell<State>>,
+}
+
+impl ServerBuffers {
+    /// Creates the account of at most `max_open` connections, with none open.
+    #[must_use]
+    pub fn new(pool: BufferPool, max_open: usize) -> Self {
+        let state = State {
+            pool,
+            open: 0,
+            peak: 0,
+            max_open,
+        };
+        Self {
+            state: Rc::new(RefCell::new(state)),
+        }
+    }
+
+    /// Takes a buffer for a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if as many connections are open as there may be.
+    pub fn take(&self) -> Result<ServerBuffer, Exhausted> {
+        let mut state = self.state.borrow_mut();
+        if state.open >= state.max_open {
+            return Err(Exhausted);
+        }
+        let bytes = server_size(&state.pool);
+        state.pool.take(bytes);
+        state.open += 1;
+        state.peak = state.peak.max(state.open);
+        Ok(ServerBuffer {
+            bytes,
+            buffers: self.clone(),
+        })
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.state.borrow().open
+    }
+
+    /// Returns the most connections that were open at a time.
+    #[must_use]
+    pub fn peak(&self) -> usize {
+        self.state.borrow().peak
+    }
+}
+
+/// The receive buffer of a connection to a server. Dropping it returns its bytes.
+#[derive(Debug)]
+pub struct ServerBuffer {
+    bytes: usize,
+    buffers: ServerBuffers,
+}
+
+impl ServerBuffer {
+    /// Returns its size, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+impl Drop for ServerBuffer {
+    fn drop(&mut self) {
+        let mut state = self.buffers.state.borrow_mut();
+        state.pool.release(self.bytes);
+        state.open -= 1;
+    }
+}
--- a/lib/tests/serving_receive_buffers.rs
+++ b/lib/tests/serving_receive_buffers.rs
@@ -8,6 +8,7 @@
 use camphorhold::coordination::serving::receive_buffers::MAX_INITIAL_BYTES;
 use camphorhold::coordination::serving::receive_buffers::MIN_BYTES;
 use camphorhold::coordination::serving::receive_buffers::ReceiveLimits;
+use camphorhold::coordination::serving::receive_buffers::server_size;
 use proptest::prelude::*;
 
 /// The memory and descriptors of the platform's machines, the smallest first.
@@ -18,7 +19,7 @@
 
 fn limits(memory: usize, descriptors: usize) -> (Limits, ReceiveLimits) {
     let limits = Limits::of_machine(memory, descriptors);
-    let receive = ReceiveLimits::of_machine(memory, &limits);
+    let receive = ReceiveLimits::of_machine(memory, descriptors, &limits);
     (limits, receive)
 }
 
@@ -56,7 +57,7 @@
 }
 
 /// Guards against limits that are sufficient one by one and not together. The answers that are being
-/// read have an eighth of the memory.
+/// read have an eighth of the memory, with the receive buffers of connections to servers.
 #[test]
 fn all_limits_together_are_within_the_machine() {
     for (memory, descriptors) in MACHINES {
@@ -65,11 +66,13 @@
         // Small bodies and heads have an eighth more.
         let shares = (heads + bodies) / 8 * 9 + answers;
         let clients: usize = limits.connections.iter().sum();
-        let connections = clients * CONNECTION_BYTES;
+        let connections = (clients + receive.servers) * CONNECTION_BYTES;
         let buffers: usize = receive.bytes.iter().sum();
         let sum = BASE_BYTES + shares + connections + buffers + memory / 8;
         assert!(sum <= memory, "{sum} of {memory}");
-        assert!(clients + 200 <= descriptors, "{clients} of {descriptors}");
+        let sockets = clients + receive.servers;
+        assert!(sockets + 200 <= descriptors, "{sockets} of {descriptors}");
+        assert!(receive.server_bytes < memory / 16, "{receive:?}");
     }
 }
 
@@ -87,6 +90,9 @@
         pool.take(initial);
         assert_eq!(pool.wider(initial), Some(MAX_BYTES), "{receive:?}");
     }
+    let servers = receive.server_pool();
+    assert_eq!(server_size(&servers), 128 << 10, "{receive:?}");
+    assert!(receive.servers >= 400, "{receive:?}");
 }
 
 /// Guards against a machine that is smaller than any on the platform, or has other limits.
@@ -99,6 +105,7 @@
             assert!(pool.size_for(1, MAX_BYTES) >= MIN_BYTES);
             assert!(receive.waiting[port as usize] > 0, "{receive:?}");
         }
+        assert!(receive.servers > 0, "{receive:?}");
     }
 }
 
