body: a body of the longest length is read in pieces of any size

What callers saw: 413 for a body of exactly `max_body_bytes`, if some of its bytes arrived in a piece of less than 16 bytes, as they do where a window of the network ends (262,144 bytes over a connection with short windows: 413 each time, seen while the speed of long bodies was measured). A caller does not send such a request again.

Cause: each piece counted as 16 bytes at least of the limit on bytes, to bound the work for bodies in chunks of one byte.

Change: the two bounds are separate. The bytes are at most the limit, and the pieces at most one for each 16 bytes of the limit, the first one not counted. Bodies in chunks of one byte end as early as before.

Evidence: `a_body_of_the_longest_length_is_read_in_uneven_pieces` failed before ("a body: TooLong") and passes; it checks, too, that one byte more and more chunks of one byte are still refused.

--- a/lib/src/transport/body.rs
+++ b/lib/src/transport/body.rs
@@ -13,9 +13,10 @@
 use crate::coordination::serving::memory_account::Refused;
 use crate::coordination::serving::memory_account::Share;
 
-/// What a chunk costs at least of the limit, in bytes. A body in chunks of one byte would otherwise
-/// take a thousand times as much processor time as others of the same length.
-const MIN_CHUNK_COST: usize = 16;
+/// How many bytes the chunks of a body have to have on average, if it has the longest permitted length.
+/// A body in chunks of one byte would otherwise take a thousand times as much processor time as others
+/// of the same length.
+const MIN_CHUNK_BYTES: usize = 16;
 
 /// The sizes of the segments in which a body is collected. A buffer that grows would be copied each
 /// time, and leave holes in the heap while many bodies are collected.
@@ -100,7 +101,7 @@
 }
 
 /// Reads the body of an answer, of at most `limit` bytes, with as many of `budget` as are left for it.
-/// Chunks count as 16 bytes at least.
+/// It may have one chunk for each 16 bytes of the limit.
 ///
 /// Lets other tasks run after some chunks, also if the next ones have arrived already.
 ///
@@ -139,7 +140,8 @@
 async fn collect(mut body: Incoming, limit: usize, bound: &mut Bound) -> Result<Bytes, Error> {
     let mut first = Bytes::new();
     let mut rest = Segments::default();
-    let mut cost = 0;
+    let mut length = 0;
+    let mut further_chunks = 0;
     while let Some(frame) = body.frame().await {
         tokio::task::coop::consume_budget().await;
         let Ok(chunk) = frame.map_err(Error::Broken)?.into_data() else {
@@ -148,13 +150,10 @@
         };
         // Most bodies arrive as one chunk, which needs no copy and no minimum.
         let is_first = first.is_empty() && rest.length == 0;
-        cost += if is_first {
-            chunk.len()
-        } else {
-            chunk.len().max(MIN_CHUNK_COST)
-        };
+        length += chunk.len();
+        further_chunks += usize::from(!is_first);
         bound.add_chunk(chunk.len())?;
-        if cost > limit {
+        if length > limit || further_chunks * MIN_CHUNK_BYTES > limit {
             return Err(Error::TooLong);
         }
         if is_first {
--- a/lib/tests/client_bodies.rs
+++ b/lib/tests/client_bodies.rs
@@ -94,6 +94,26 @@
     assert_eq!(account.share(Share::Bodies).used, 0);
 }
 
+/// Guards against a body of the longest permitted length that is refused because some of its bytes arrive
+/// in small pieces, as they do where a window of the network ends.
+#[tokio::test]
+async fn a_body_of_the_longest_length_is_read_in_uneven_pieces() {
+    let account = account();
+    let mut request = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    for length in [1_000, 44_000, 2, 43_998, 3, 997] {
+        request.extend(format!("{length:x}\r\n").bytes());
+        request.extend(vec![b'x'; length]);
+        request.extend(b"\r\n");
+    }
+    request.extend(b"0\r\n\r\n");
+    let body = read(&account, request).await;
+    assert_eq!(body.expect("a body").len(), 90_000);
+    let longer = read(&account, chunked(&vec![b'x'; 90_001], 1_000)).await;
+    assert!(matches!(longer, Err(body::Error::TooLong)));
+    let tiny = read(&account, chunked(&vec![b'x'; 90_000 / 16 + 2], 1)).await;
+    assert!(matches!(tiny, Err(body::Error::TooLong)));
+}
+
 /// Guards against bodies that are no longer charged for while leafs need them, and against charges
 /// that stay.
 #[tokio::test]
