instance: keep receive buffers wide while few connections are open

The windows were 16,384 bytes at first and never more than 65,535.

Cause: the size of the listening socket's buffer when a connection begins bounds its windows for good (the window scale), and most of the bytes were set aside for connections that might come.

Change: all connections of a port have the same size, which follows from their number: 128 KiB (what the operating system begins with) up to 75 callers and 51 instances on the smallest machines, half of it for twice as many, 8 KiB at least. When it falls, the buffers of open connections are made smaller; one that holds more than that unread behind a request in progress is closed. When half of the connections have ended, it rises with the next request of each. Connections that wait to be accepted have 128 KiB each while few are open, in memory that nothing else uses then (an eighth at each port), and a share of the port's bytes otherwise. Connections to servers have 256 KiB in calm. The wider buffers for long bodies are no longer needed. The stream of a client is shared, so that its buffer can be changed while the HTTP library has it.

--- a/instance/src/activity.rs
+++ b/instance/src/activity.rs
@@ -16,13 +16,12 @@
 use camphorhold::transport::client::Connection;
 use camphorhold::transport::receive;
 use tokio::io::AsyncRead;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::io::Take;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::listener;
 use crate::request::Source;
 use crate::shared::Shared;
 
@@ -31,10 +30,6 @@
 const READ_BUFFER_BYTES: usize = 8 << 10;
 const MAX_READ_BYTES: usize = READ_BUFFER_BYTES - 1;
 
-/// A body of which as much has been read gets a wider receive buffer. What the HTTP library reads
-/// behind a request without a body is less.
-const LONG_BODY_BYTES: usize = READ_BUFFER_BYTES;
-
 /// How much longer than the limit the head of a request may be, so that the limit may be taken as
 /// that of its header lines alone.
 const HEAD_SLACK_BYTES: usize = 1 << 10;
@@ -58,6 +53,9 @@
 pub struct Activity {
     // What the client makes the process hold.
     client: Connection,
+    stream: Rc<TcpStream>,
+    // The size of its receive buffer.
+    buffer_bytes: Cell<usize>,
     head_charge: RefCell<Charge>,
     busy: Cell<bool>,
     // When the last response was ready or, before the first one, when the connection was accepted.
@@ -66,9 +64,6 @@
     head_since: Cell<Option<Instant>>,
     // The bytes read since the last response was ready.
     head_bytes: Cell<usize>,
-    // The bytes read of the body of the request in progress; `None` if it has none, or its receive
-    // buffer has been made wider.
-    body_bytes: Cell<Option<usize>>,
     // Whether the head of the request is longer than permitted. What follows is discarded.
     head_too_long: Cell<bool>,
     /// Wakes the connection when the head of a request was ended at the limit.
@@ -79,15 +74,16 @@
 
 impl Activity {
     /// Creates the state of a connection that has just been accepted.
-    pub fn new(client: Connection, now: Instant) -> Self {
+    pub fn new(client: Connection, stream: Rc<TcpStream>, now: Instant) -> Self {
         Self {
             head_charge: RefCell::new(client.charge(Share::Heads)),
+            buffer_bytes: Cell::new(client.buffer()),
             client,
+            stream,
             busy: Cell::new(false),
             idle_since: Cell::new(now),
             head_since: Cell::new(None),
             head_bytes: Cell::new(0),
-            body_bytes: Cell::new(None),
             head_too_long: Cell::new(false),
             refused: Notify::new(),
             close: Notify::new(),
@@ -96,9 +92,9 @@
 
     /// Records that the head of a request has been read. Returns when its first byte arrived, `None` if
     /// that was before the answer to the request before it.
-    pub fn begin(&self, has_body: bool) -> Option<Instant> {
+    pub fn begin(&self) -> Option<Instant> {
         self.busy.set(true);
-        self.body_bytes.set(has_body.then_some(0));
+        self.grow_buffer();
         self.head_since.take()
     }
 
@@ -109,7 +105,6 @@
         let _ = self.head_charge.borrow_mut().set(0);
         self.idle_since.set(now);
         self.head_bytes.set(0);
-        self.body_bytes.set(None);
         self.busy.set(false);
     }
 
@@ -134,16 +129,31 @@
         self.head_charge.borrow_mut().set(bytes)
     }
 
-    /// Records bytes of the body of a request. Returns the size of a wider receive buffer, if the body
-    /// is long and there is room for one.
-    fn on_body(&self, received: usize) -> Option<usize> {
-        let bytes = self.body_bytes.get()? + received;
-        if bytes < LONG_BODY_BYTES {
-            self.body_bytes.set(Some(bytes));
-            return None;
+    /// Makes the receive buffer smaller if it is larger than it may be now. Closes the connection if it
+    /// has received more meanwhile, behind a request in progress.
+    pub fn shrink_buffer(&self) {
+        let bytes = self.client.buffer();
+        if bytes >= self.buffer_bytes.get() {
+            return;
+        }
+        self.set_buffer(bytes);
+        let is_exceeded = || receive::unread(&*self.stream).is_ok_and(|unread| unread > bytes);
+        if self.busy.get() && is_exceeded() {
+            self.client.close();
+        }
+    }
+
+    /// Makes the receive buffer larger again if it may be.
+    fn grow_buffer(&self) {
+        let bytes = self.client.buffer();
+        if bytes > self.buffer_bytes.get() {
+            self.set_buffer(bytes);
         }
-        self.body_bytes.set(None);
-        self.client.wider_buffer()
+    }
+
+    fn set_buffer(&self, bytes: usize) {
+        listener::set_buffer(&*self.stream, bytes);
+        self.buffer_bytes.set(bytes);
     }
 
     /// Returns whether a request is in progress.
@@ -170,7 +180,7 @@
 /// A stream that records when the first byte of a request arrives, and ends heads of requests that
 /// are longer than the configuration in force permits.
 pub struct ActivityStream {
-    stream: Take<TcpStream>,
+    stream: Rc<TcpStream>,
     shared: Rc<Shared>,
     activity: Rc<Activity>,
     source: Source,
@@ -180,13 +190,13 @@
 impl ActivityStream {
     /// Wraps the connection of a client.
     pub fn new(
-        stream: TcpStream,
+        stream: Rc<TcpStream>,
         shared: Rc<Shared>,
         activity: Rc<Activity>,
         source: Source,
     ) -> Self {
         Self {
-            stream: stream.take(0),
+            stream,
             shared,
             activity,
             source,
@@ -201,22 +211,12 @@
         result
     }
 
-    fn widen(&self, bytes: usize) {
-        if let Err(error) = receive::set_size(self.stream.get_ref(), bytes) {
-            log::debug!(error:% = error; "cannot set the receive buffer of a connection");
-            return;
-        }
-        self.activity.client.set_buffer(bytes);
-    }
-
     /// Reads and drops what the caller sends, until it closes the connection or has sent enough.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [0; 4 << 10];
         while self.discarded < MAX_DISCARDED_BYTES {
-            let mut buffer = ReadBuf::new(&mut bytes);
-            let stream = Pin::new(self.stream.get_mut());
-            match ready!(stream.poll_read(context, &mut buffer)) {
-                Ok(()) if !buffer.filled().is_empty() => self.discarded += buffer.filled().len(),
+            match ready!(poll_read(&self.stream, context, &mut bytes)) {
+                Ok(received) if received > 0 => self.discarded += received,
                 _ => break,
             }
         }
@@ -243,7 +243,7 @@
 
 impl AsyncRead for ActivityStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -257,16 +257,12 @@
             buffer.put_slice(HEAD_END);
             return Poll::Ready(Ok(()));
         }
-        self.stream.set_limit(allowance as u64);
-        let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let received = buffer.filled().len() - before;
+        let unfilled = buffer.initialize_unfilled_to(allowance.min(buffer.remaining()));
+        let received = ready!(poll_read(&self.stream, context, unfilled))?;
+        buffer.advance(received);
         let activity = &self.activity;
         if received > 0 {
             activity.client.on_transfer(received);
-            if let Some(bytes) = activity.on_body(received) {
-                self.widen(bytes);
-            }
         }
         if received > 0 && !activity.busy.get() {
             activity
@@ -277,42 +273,76 @@
             }
             activity.charge_head().map_err(io::Error::other)?;
         }
-        result
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for ActivityStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(self.stream.get_mut()).poll_write(context, bytes);
+        let result = poll_write(&self.stream, context, |stream| stream.try_write(bytes));
         self.on_written(result)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(self.stream.get_mut()).poll_write_vectored(context, slices);
+        let result = poll_write(&self.stream, context, |stream| {
+            stream.try_write_vectored(slices)
+        });
         self.on_written(result)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.get_ref().is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(self.stream.get_mut()).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A socket has no buffer of its own here.
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(self.stream.get_mut()).poll_shutdown(context))?;
+        receive::shut_down_writing(&*self.stream)?;
         if self.activity.head_too_long.get() {
             ready!(self.poll_discard(context));
         }
         Poll::Ready(Ok(()))
     }
 }
+
+fn poll_read(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    buffer: &mut [u8],
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_read_ready(context))?;
+        match stream.try_read(buffer) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            result => return Poll::Ready(result),
+        }
+    }
+}
+
+fn poll_write<Write>(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    write: Write,
+) -> Poll<io::Result<usize>>
+where
+    Write: Fn(&TcpStream) -> io::Result<usize>,
+{
+    loop {
+        ready!(stream.poll_write_ready(context))?;
+        match write(stream) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            result => return Poll::Ready(result),
+        }
+    }
+}
--- a/instance/src/client_report.rs
+++ b/instance/src/client_report.rs
@@ -42,11 +42,8 @@
                 .set(gauge(usage.used));
             metrics::gauge!("camphorhold_client_peak_connections", "port" => name)
                 .set(gauge(usage.peak));
-            let buffers = clients.buffers(port);
             metrics::gauge!("camphorhold_client_receive_buffer_bytes", "port" => name)
-                .set(gauge(buffers.used()));
-            metrics::gauge!("camphorhold_client_peak_receive_buffer_bytes", "port" => name)
-                .set(gauge(buffers.peak()));
+                .set(gauge(clients.buffer(port)));
         }
         metrics::gauge!("camphorhold_server_connections").set(gauge(servers.open()));
         metrics::gauge!("camphorhold_server_peak_connections").set(gauge(servers.peak()));
--- a/instance/src/listener.rs
+++ b/instance/src/listener.rs
@@ -8,7 +8,7 @@
 use camphorhold::coordination::serving::memory_account::Port;
 use camphorhold::coordination::serving::memory_account::Refused;
 use camphorhold::transport::client::Account;
-use camphorhold::transport::client::Connection;
+use camphorhold::transport::client::Opened;
 use camphorhold::transport::receive;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
@@ -59,18 +59,17 @@
         Ok(self.socket.accept().await?.0)
     }
 
-    /// Adds a connection that was accepted to the account of clients. Returns whether another one is
-    /// closed for it.
+    /// Adds a connection that was accepted to the account of clients, and gives it the receive buffer
+    /// that it may have.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection has to be closed.
-    pub fn open(&self, stream: &TcpStream) -> Result<(Connection, bool), Refused> {
-        let (client, closes_another) = self.clients.open(self.port)?;
-        let bytes = receive::size(stream).unwrap_or(self.buffer_bytes.get());
-        client.set_buffer(bytes);
+    pub fn open(&self, stream: &TcpStream) -> Result<Opened, Refused> {
+        let opened = self.clients.open(self.port)?;
+        set_buffer(stream, opened.connection.buffer());
         self.adjust();
-        Ok((client, closes_another))
+        Ok(opened)
     }
 
     /// Changes the receive buffer of further connections with the bytes that are left for them.
@@ -84,11 +83,11 @@
 
 /// Sets the receive buffer of a socket, and goes on if that is not possible: only the bound on what
 /// waits in it is higher then.
-fn set_buffer<Socket>(socket: &Socket, bytes: usize)
+pub fn set_buffer<Socket>(socket: &Socket, bytes: usize)
 where
     Socket: AsFd,
 {
     if let Err(error) = receive::set_size(socket, bytes) {
-        log::warn!(bytes = bytes, error:% = error; "cannot set the receive buffer of a listening socket");
+        log::debug!(bytes = bytes, error:% = error; "cannot set the receive buffer of a socket");
     }
 }
--- a/instance/src/own_port.rs
+++ b/instance/src/own_port.rs
@@ -44,9 +44,10 @@
                 continue;
             }
         };
-        let Ok((client, closes_another)) = listener.open(&stream) else {
+        let Ok(opened) = listener.open(&stream) else {
             continue;
         };
+        let client = opened.connection;
         let respond = respond.clone();
         tokio::task::spawn_local(async move {
             tokio::select! {
@@ -57,7 +58,7 @@
                 }) => {}
             }
         });
-        if closes_another {
+        if opened.closes_another {
             // The other connection is closed first.
             tokio::task::yield_now().await;
         }
--- a/instance/src/server.rs
+++ b/instance/src/server.rs
@@ -18,7 +18,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -78,6 +77,13 @@
         }
     }
 
+    /// Makes receive buffers smaller that are larger than they may be now.
+    fn shrink_buffers(&self) {
+        for (_, activity) in self.open.borrow().iter() {
+            activity.shrink_buffer();
+        }
+    }
+
     /// Closes every connection. A busy one closes after its request has ended; one with an
     /// incomplete request head is dropped at once.
     pub fn close_all(&self) {
@@ -122,17 +128,22 @@
     loop {
         match listener.accept().await {
             Ok(stream) => {
-                let Ok((client, closes_another)) = listener.open(&stream) else {
+                let Ok(opened) = listener.open(&stream) else {
                     // All connections have a request in progress. The port stays in use by those.
                     drop(stream);
                     tokio::task::yield_now().await;
                     continue;
                 };
-                let activity = Rc::new(Activity::new(client, shared.now()));
+                if opened.shrinks_buffers {
+                    connections.shrink_buffers();
+                }
+                let stream = Rc::new(stream);
+                let client = opened.connection;
+                let activity = Rc::new(Activity::new(client, Rc::clone(&stream), shared.now()));
                 let (shared, connections) = (Rc::clone(&shared), Rc::clone(&connections));
                 let task = serve_connection(shared, connections, stream, activity, source);
                 tokio::task::spawn_local(task);
-                if closes_another {
+                if opened.closes_another {
                     // The other connection is closed before the next one is accepted.
                     tokio::task::yield_now().await;
                 }
@@ -148,7 +159,7 @@
 async fn serve_connection(
     shared: Rc<Shared>,
     connections: Rc<Connections>,
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     activity: Rc<Activity>,
     source: Source,
 ) {
@@ -160,8 +171,8 @@
     let (state, recorded) = (Rc::clone(&shared), Rc::clone(&activity));
     let stream = ActivityStream::new(stream, state, recorded, source);
     let first = Cell::new(true);
-    let service = service_fn(|request: Request<Incoming>| {
-        let arrived = activity.begin(!request.body().is_end_stream());
+    let service = service_fn(|request| {
+        let arrived = activity.begin();
         let first = first.replace(false);
         let origin = Origin {
             arrived: arrived.unwrap_or_else(|| shared.now()),
--- a/lib/src/coordination/serving/memory_account.rs
+++ b/lib/src/coordination/serving/memory_account.rs
@@ -336,6 +336,17 @@
         Ok((key, close))
     }
 
+    /// Closes a connection, whatever it is doing.
+    pub fn close(&mut self, key: ConnectionKey) {
+        if let Some(connection) = self.connections.get(key)
+            && !connection.is_closing
+            && !connection.has_ended
+        {
+            self.ports[connection.port as usize].closed += 1;
+            self.start_closing(key);
+        }
+    }
+
     /// Records that a connection has ended. What it holds stays in the account until it is released.
     pub fn on_end(&mut self, key: ConnectionKey) {
         let Some(connection) = self.connections.get_mut(key) else {
--- a/lib/src/coordination/serving/receive_buffers.rs
+++ b/lib/src/coordination/serving/receive_buffers.rs
@@ -2,8 +2,7 @@
 //!
 //! The operating system keeps what a socket has received until the process reads it, and a process
 //! cannot refuse it: each socket may hold as much as its receive buffer. So the buffers of all sockets
-//! together are bounded. Each socket that may be open has the smallest size set aside. The rest goes to
-//! those that need more, in calm to all of them.
+//! together are bounded. Few connections have wide buffers, and with more of them each has less.
 
 use super::memory_account::CONNECTION_BYTES;
 use super::memory_account::Limits;
@@ -15,18 +14,14 @@
 /// usual request.
 pub const MIN_BYTES: usize = 8 << 10;
 
-/// The largest receive buffer of a connection that has not sent a long body. Half of it is for data,
-/// which is more than a client sends before the first acknowledgement.
-pub const MAX_INITIAL_BYTES: usize = 32 << 10;
+/// The largest receive buffer of a client's connection: what the operating system would begin with.
+pub const MAX_BYTES: usize = 128 << 10;
 
-/// The largest receive buffer. Half of it is for data, as much as the longest body usually permitted.
-pub const MAX_BYTES: usize = 512 << 10;
+/// The largest receive buffer of a connection to a server.
+pub const MAX_SERVER_BYTES: usize = 256 << 10;
 
-/// The largest receive buffer of a connection to a server: what the operating system would use.
-pub const MAX_SERVER_BYTES: usize = 128 << 10;
-
-/// The part of the spare bytes that one connection may take, as a divisor.
-const WIDENING_DIVISOR: usize = 4;
+/// The part of a port's bytes that is for connections that wait to be accepted, as a divisor.
+const OPEN_DIVISOR: usize = 4;
 
 /// How many connections to servers the spare bytes have to be sufficient for at least.
 const SERVER_DIVISOR: usize = 16;
@@ -35,9 +30,11 @@
 const MAX_WAITING: usize = 128;
 const MIN_WAITING: usize = 8;
 
-/// The memory for the receive buffers of clients, for those of connections to servers and for these
-/// connections themselves, as divisors of what the process does not need itself.
+/// The memory for the receive buffers of clients, for those that wait at one port while few are open and
+/// use nothing else, for those of connections to servers and for these connections themselves, as
+/// divisors of what the process does not need itself.
 const CLIENT_DIVISOR: usize = 6;
+const CALM_DIVISOR: usize = 8;
 const SERVER_BUFFER_DIVISOR: usize = 16;
 const SERVER_CONNECTION_DIVISOR: usize = 16;
 
@@ -47,74 +44,121 @@
 /// The least part of the sockets that is for connections to servers, as a divisor.
 const MIN_SERVERS_DIVISOR: usize = 8;
 
-/// The receive buffers of some sockets, which share a number of bytes.
+/// The receive buffers of the clients' connections at a port. All have the same size, which falls as
+/// their number rises.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BufferPool {
-    // What is not set aside, how much of that is in use, and the most that was.
-    spare: usize,
-    used: usize,
-    peak: usize,
+pub struct PortBuffers {
+    // For the connections that are open and those that wait to be accepted.
+    bytes: usize,
+    // For those that wait, while few are open.
+    calm_bytes: usize,
+    waiting: usize,
+    open: usize,
+    size: usize,
 }
 
-impl BufferPool {
-    /// Creates a pool of that many bytes, of which the smallest buffer is set aside for each of
-    /// `sockets`.
+impl PortBuffers {
+    /// Creates the buffers of a port at which `waiting` connections may wait to be accepted.
     #[must_use]
-    pub fn new(bytes: usize, sockets: usize) -> Self {
-        Self {
-            spare: bytes.saturating_sub(sockets * MIN_BYTES),
-            used: 0,
-            peak: 0,
-        }
+    pub fn new(bytes: usize, calm_bytes: usize, waiting: usize) -> Self {
+        let mut buffers = Self {
+            bytes,
+            calm_bytes,
+            waiting,
+            open: 0,
+            size: MIN_BYTES,
+        };
+        buffers.size = buffers.size_for(0);
+        buffers
     }
 
-    /// Returns the bytes in use beyond those that are set aside.
+    /// Returns the size of the buffer of an open connection, in bytes.
     #[must_use]
-    pub fn used(&self) -> usize {
-        self.used
+    pub fn size(&self) -> usize {
+        self.size
     }
 
-    /// Returns the most bytes that were in use at a time.
+    /// Returns the size for connections that are opened from now on, until they are accepted.
     #[must_use]
-    pub fn peak(&self) -> usize {
-        self.peak
+    pub fn initial_size(&self) -> usize {
+        let (most, bytes) = if self.size == MAX_BYTES {
+            (MAX_BYTES, self.calm_bytes)
+        } else {
+            (self.size / OPEN_DIVISOR, self.bytes / OPEN_DIVISOR)
+        };
+        let mut size = most;
+        while size > MIN_BYTES && (self.waiting + 1) * size > bytes {
+            size /= 2;
+        }
+        size.max(MIN_BYTES)
     }
 
-    /// Returns the bytes that are neither in use nor set aside.
-    #[must_use]
-    pub fn free(&self) -> usize {
-        self.spare.saturating_sub(self.used)
+    /// Records that a connection was accepted. Returns whether open ones have to be made smaller.
+    pub fn on_open(&mut self) -> bool {
+        self.open += 1;
+        let size = self.size_for(self.open);
+        let shrinks = size < self.size;
+        self.size = self.size.min(size);
+        shrinks
     }
 
-    /// Returns the largest size, at most `max`, that as many further sockets can have.
-    #[must_use]
-    pub fn size_for(&self, sockets: usize, max: usize) -> usize {
-        let mut size = MIN_BYTES;
-        while size * 2 <= max && (size * 2 - MIN_BYTES) * sockets <= self.free() {
-            size *= 2;
+    /// Records that a connection has ended.
+    pub fn on_end(&mut self) {
+        self.open -= 1;
+        // Not at once, so that a connection more or less does not change the size of all.
+        self.size = self.size.max(self.size_for(self.open * 2));
+    }
+
+    /// Returns the largest size that as many connections can have.
+    fn size_for(&self, open: usize) -> usize {
+        let bytes = self.bytes / OPEN_DIVISOR * (OPEN_DIVISOR - 1);
+        let mut size = MAX_BYTES;
+        while size > MIN_BYTES && open.max(1) * size > bytes {
+            size /= 2;
         }
         size
     }
+}
 
-    /// Returns a larger size for a socket with a buffer of `size`, if the pool has the bytes.
+/// The receive buffers of the connections to servers. Each keeps the size that it begins with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerPool {
+    // What is not set aside, and how much of that is in use.
+    spare: usize,
+    used: usize,
+}
+
+impl ServerPool {
+    /// Creates a pool of that many bytes, of which the smallest buffer is set aside for each of
+    /// `connections`.
     #[must_use]
-    pub fn wider(&self, size: usize) -> Option<usize> {
-        let mut wider = size;
-        while wider * 2 <= MAX_BYTES && wider * 2 - size <= self.free() / WIDENING_DIVISOR {
-            wider *= 2;
+    pub fn new(bytes: usize, connections: usize) -> Self {
+        Self {
+            spare: bytes.saturating_sub(connections * MIN_BYTES),
+            used: 0,
         }
-        (wider > size).then_some(wider)
     }
 
-    /// Records that a socket has a buffer of that size.
-    pub fn take(&mut self, size: usize) {
-        self.used += size.saturating_sub(MIN_BYTES);
-        self.peak = self.peak.max(self.used);
+    /// Returns the bytes that are neither in use nor set aside.
+    #[must_use]
+    pub fn free(&self) -> usize {
+        self.spare.saturating_sub(self.used)
+    }
+
+    /// Takes a buffer for a connection. Returns its size, in bytes.
+    pub fn take(&mut self) -> usize {
+        let mut size = MIN_BYTES;
+        let most = self.free() / SERVER_DIVISOR;
+        while size < MAX_SERVER_BYTES && size * 2 - MIN_BYTES <= most {
+            size *= 2;
+        }
+        self.used += size - MIN_BYTES;
+        size
     }
 
-    /// Records that a socket with a buffer of that size has been closed or has another size.
+    /// Returns a buffer of that size.
     pub fn release(&mut self, size: usize) {
-        self.used -= size.saturating_sub(MIN_BYTES);
+        self.used -= size - MIN_BYTES;
     }
 }
 
@@ -123,6 +167,8 @@
 pub struct ReceiveLimits {
     /// The bytes at each port, in the order of [`Port::ALL`].
     pub bytes: [usize; 4],
+    /// The bytes of connections that wait at a port while few are open.
+    pub calm_bytes: usize,
     /// How many connections may wait to be accepted at each port.
     pub waiting: [usize; 4],
     /// The bytes of connections to servers.
@@ -153,6 +199,7 @@
         let in_memory = memory / SERVER_CONNECTION_DIVISOR / CONNECTION_BYTES;
         Self {
             bytes,
+            calm_bytes: memory / CALM_DIVISOR,
             waiting,
             server_bytes: memory / SERVER_BUFFER_DIVISOR,
             servers: in_memory
@@ -161,17 +208,23 @@
         }
     }
 
-    /// Returns the pool of a port.
+    /// Returns the buffers of a port.
     #[must_use]
-    pub fn pool(&self, limits: &Limits, port: Port) -> BufferPool {
-        let clients = clients(limits, self.waiting, port);
-        BufferPool::new(self.bytes[port as usize], clients)
+    pub fn port(&self, port: Port) -> PortBuffers {
+        let waiting = self.waiting[port as usize];
+        match port {
+            Port::Callers | Port::Instances => {
+                PortBuffers::new(self.bytes[port as usize], self.calm_bytes, waiting)
+            }
+            // The smallest size for each.
+            Port::Readiness | Port::Metrics => PortBuffers::new(0, 0, waiting),
+        }
     }
 
     /// Returns the pool of the connections to servers.
     #[must_use]
-    pub fn server_pool(&self) -> BufferPool {
-        BufferPool::new(self.server_bytes, self.servers)
+    pub fn server_pool(&self) -> ServerPool {
+        ServerPool::new(self.server_bytes, self.servers)
     }
 }
 
@@ -180,9 +233,3 @@
 fn clients(limits: &Limits, waiting: [usize; 4], port: Port) -> usize {
     limits.connections[port as usize] + waiting[port as usize] + 1
 }
-
-/// Returns the size for the next connections to servers.
-#[must_use]
-pub fn server_size(pool: &BufferPool) -> usize {
-    pool.size_for(SERVER_DIVISOR, MAX_SERVER_BYTES)
-}
--- a/lib/src/transport/client.rs
+++ b/lib/src/transport/client.rs
@@ -1,6 +1,5 @@
 //! Connections of clients, with what they make the process hold.
 
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,8 +16,7 @@
 use crate::coordination::serving::memory_account::Refused;
 use crate::coordination::serving::memory_account::Share;
 use crate::coordination::serving::memory_account::Usage;
-use crate::coordination::serving::receive_buffers::BufferPool;
-use crate::coordination::serving::receive_buffers::MAX_INITIAL_BYTES;
+use crate::coordination::serving::receive_buffers::PortBuffers;
 use crate::coordination::serving::receive_buffers::ReceiveLimits;
 use crate::state::time::Clock;
 
@@ -27,7 +25,7 @@
     account: MemoryAccount,
     closed: HashMap<ConnectionKey, Arc<Notify>>,
     // The receive buffers at each port, in the order of `Port::ALL`, and how many connections may wait.
-    buffers: [BufferPool; 4],
+    buffers: [PortBuffers; 4],
     waiting: [usize; 4],
 }
 
@@ -61,7 +59,7 @@
         let state = State {
             account: MemoryAccount::new(limits),
             closed: HashMap::new(),
-            buffers: Port::ALL.map(|port| receive.pool(&limits, port)),
+            buffers: Port::ALL.map(|port| receive.port(port)),
             waiting: receive.waiting,
         };
         Self {
@@ -75,47 +73,48 @@
     }
 
     /// Adds a connection that has been accepted. If there were too many, tells another one that it is
-    /// closed; returns whether it did so.
+    /// closed.
     ///
     /// # Errors
     ///
     /// Returns an error if the new connection has to be closed.
-    pub fn open(&self, port: Port) -> Result<(Connection, bool), Refused> {
+    pub fn open(&self, port: Port) -> Result<Opened, Refused> {
         let now = self.clock.now();
         let state = &mut *self.lock();
         let (key, close) = state.account.open(port, now)?;
         let closed = Arc::new(Notify::new());
         state.closed.insert(key, Arc::clone(&closed));
         state.notify(close.as_slice());
+        let shrinks_buffers = state.buffers[port as usize].on_open();
         let connection = Connection {
             account: self.clone(),
             key,
             closed,
             port,
-            buffer_bytes: Cell::new(0),
         };
-        Ok((connection, close.is_some()))
+        Ok(Opened {
+            connection,
+            closes_another: close.is_some(),
+            shrinks_buffers,
+        })
     }
 
-    /// Returns the receive buffer of further connections at a port, in bytes: what those that may wait
-    /// to be accepted can have together.
+    /// Returns the receive buffer of further connections at a port until they are accepted, in bytes.
     #[must_use]
     pub fn initial_buffer(&self, port: Port) -> usize {
-        let state = self.lock();
-        let waiting = state.waiting[port as usize] + 1;
-        state.buffers[port as usize].size_for(waiting, MAX_INITIAL_BYTES)
+        self.lock().buffers[port as usize].initial_size()
     }
 
-    /// Returns how many connections may wait to be accepted at a port.
+    /// Returns the receive buffer of the open connections at a port, in bytes.
     #[must_use]
-    pub fn waiting(&self, port: Port) -> u32 {
-        u32::try_from(self.lock().waiting[port as usize]).unwrap_or(u32::MAX)
+    pub fn buffer(&self, port: Port) -> usize {
+        self.lock().buffers[port as usize].size()
     }
 
-    /// Returns the receive buffers at a port.
+    /// Returns how many connections may wait to be accepted at a port.
     #[must_use]
-    pub fn buffers(&self, port: Port) -> BufferPool {
-        self.lock().buffers[port as usize].clone()
+    pub fn waiting(&self, port: Port) -> u32 {
+        u32::try_from(self.lock().waiting[port as usize]).unwrap_or(u32::MAX)
     }
 
     /// Returns the use of a share.
@@ -131,6 +130,17 @@
     }
 }
 
+/// A connection that has been added to the account.
+#[derive(Debug)]
+pub struct Opened {
+    /// The connection.
+    pub connection: Connection,
+    /// Whether another one is closed for it.
+    pub closes_another: bool,
+    /// Whether the receive buffers of the others at its port have to be made smaller.
+    pub shrinks_buffers: bool,
+}
+
 impl State {
     fn notify(&self, keys: &[ConnectionKey]) {
         for closed in keys.iter().filter_map(|key| self.closed.get(key)) {
@@ -146,21 +156,19 @@
     key: ConnectionKey,
     closed: Arc<Notify>,
     port: Port,
-    buffer_bytes: Cell<usize>,
 }
 
 impl Connection {
-    /// Records the size of its receive buffer, in bytes.
-    pub fn set_buffer(&self, bytes: usize) {
-        let pool = &mut self.account.lock().buffers[self.port as usize];
-        pool.release(self.buffer_bytes.replace(bytes));
-        pool.take(bytes);
+    /// Returns the size that its receive buffer has to have, in bytes.
+    #[must_use]
+    pub fn buffer(&self) -> usize {
+        self.account.buffer(self.port)
     }
 
-    /// Returns the size that its receive buffer may have from now on, if that is a larger one.
-    #[must_use]
-    pub fn wider_buffer(&self) -> Option<usize> {
-        self.account.lock().buffers[self.port as usize].wider(self.buffer_bytes.get())
+    /// Closes the connection, also if the instance has its whole request.
+    pub fn close(&self) {
+        self.account.lock().account.close(self.key);
+        self.closed.notify_one();
     }
 
     /// Waits until the connection has to be closed because of what it holds.
@@ -215,7 +223,7 @@
     fn drop(&mut self) {
         let state = &mut *self.account.lock();
         state.closed.remove(&self.key);
-        state.buffers[self.port as usize].release(self.buffer_bytes.get());
+        state.buffers[self.port as usize].on_end();
         state.account.on_end(self.key);
     }
 }
--- a/lib/src/transport/receive.rs
+++ b/lib/src/transport/receive.rs
@@ -2,41 +2,58 @@
 
 use std::cell::RefCell;
 use std::io;
+use std::net::Shutdown;
 use std::os::fd::AsFd;
 use std::rc::Rc;
 
+use rustix::io::ioctl_fionread;
 use socket2::SockRef;
 use thiserror::Error;
 
-use crate::coordination::serving::receive_buffers::BufferPool;
-use crate::coordination::serving::receive_buffers::server_size;
+use crate::coordination::serving::receive_buffers::ServerPool;
 
 /// The operating system doubles the size that it is told, to have room for its own data.
 const SYSTEM_FACTOR: usize = 2;
 
-/// Returns the size of the receive buffer of a socket, in bytes.
+/// Sets the size of the receive buffer of a socket, in bytes. A listening socket passes it on to
+/// the connections that it accepts from then on.
 ///
 /// # Errors
 ///
 /// Returns the error of the operating system.
-pub fn size<Socket>(socket: &Socket) -> io::Result<usize>
+pub fn set_size<Socket>(socket: &Socket, bytes: usize) -> io::Result<()>
 where
     Socket: AsFd,
 {
-    SockRef::from(socket).recv_buffer_size()
+    SockRef::from(socket).set_recv_buffer_size(bytes / SYSTEM_FACTOR)
 }
 
-/// Sets the size of the receive buffer of a socket, in bytes. A listening socket passes it on to
-/// the connections that it accepts from then on.
+/// Returns how many bytes a socket has received that nobody has read.
 ///
 /// # Errors
 ///
 /// Returns the error of the operating system.
-pub fn set_size<Socket>(socket: &Socket, bytes: usize) -> io::Result<()>
+pub fn unread<Socket>(socket: &Socket) -> io::Result<usize>
 where
     Socket: AsFd,
 {
-    SockRef::from(socket).set_recv_buffer_size(bytes / SYSTEM_FACTOR)
+    let bytes = ioctl_fionread(socket)?;
+    Ok(usize::try_from(bytes).unwrap_or(usize::MAX))
+}
+
+/// Ends the direction of a socket in which it sends, unless its connection is gone.
+///
+/// # Errors
+///
+/// Returns the error of the operating system.
+pub fn shut_down_writing<Socket>(socket: &Socket) -> io::Result<()>
+where
+    Socket: AsFd,
+{
+    match SockRef::from(socket).shutdown(Shutdown::Write) {
+        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(()),
+        result => result,
+    }
 }
 
 /// The error returned when there are too many connections to servers.
@@ -46,7 +63,7 @@
 
 #[derive(Debug)]
 struct State {
-    pool: BufferPool,
+    pool: ServerPool,
     open: usize,
     peak: usize,
     max_open: usize,
@@ -61,7 +78,7 @@
 impl ServerBuffers {
     /// Creates the account of at most `max_open` connections, with none open.
     #[must_use]
-    pub fn new(pool: BufferPool, max_open: usize) -> Self {
+    pub fn new(pool: ServerPool, max_open: usize) -> Self {
         let state = State {
             pool,
             open: 0,
@@ -83,8 +100,7 @@
         if state.open >= state.max_open {
             return Err(Exhausted);
         }
-        let bytes = server_size(&state.pool);
-        state.pool.take(bytes);
+        let bytes = state.pool.take();
         state.open += 1;
         state.peak = state.peak.max(state.open);
         Ok(ServerBuffer {
