tests, soak: count each connection once, and requests sent ahead in the soak

A trial with 4,200 clients and the settings of the smallest machines showed 121,045 KiB received and not read on connections that wait, where 33 MiB are possible. Cause: the table of connections of the operating system lists some of them several times while many others are opened (757 of 11,938 lines; 118,153 KiB with them, 32,226 without, in the same moment). The sampler counts each pair of addresses once now. The clients and the bounds are as before.

The client of the soak that nobody controls sends requests ahead, too, to a path that no route matches, and reads no answers.

--- a/instance/tests/support/crowd.rs
+++ b/instance/tests/support/crowd.rs
@@ -1,6 +1,7 @@
 //! Crowds of clients that hold as much of an instance's memory and as many of its connections as they
 //! can, and the peaks of the process meanwhile.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -244,22 +245,26 @@
     /// that it has not accepted included.
     fn received_bytes(&self) -> usize {
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-        table.lines().filter_map(|line| self.queue(line)).sum()
+        // The operating system lists a connection several times while others are opened.
+        let queues: HashMap<_, _> = table.lines().filter_map(|line| self.queue(line)).collect();
+        queues.values().sum()
     }
 
-    /// Returns the receive queue of a line of the table, if its connection is one of the process.
-    fn queue(&self, line: &str) -> Option<usize> {
+    /// Returns the two addresses and the receive queue of a line of the table, if its connection is one
+    /// of the process.
+    fn queue<'a>(&self, line: &'a str) -> Option<([&'a str; 2], usize)> {
         let mut fields = line.split_whitespace().skip(1);
-        let mut port = || {
-            let (_, port) = fields.next()?.split_once(':')?;
+        let addresses = [fields.next()?, fields.next()?];
+        let port = |address: &str| {
+            let (_, port) = address.split_once(':')?;
             u16::from_str_radix(port, 16).ok()
         };
-        let (own, remote) = (port()?, port()?);
         let is_listening = fields.next()? == LISTENING;
         let (_, queue) = fields.next()?.split_once(':')?;
-        let is_counted = self.own.contains(&own) || self.remote.contains(&remote);
+        let is_counted =
+            self.own.contains(&port(addresses[0])?) || self.remote.contains(&port(addresses[1])?);
         let bytes = usize::from_str_radix(queue, 16).ok()?;
-        (is_counted && !is_listening).then_some(bytes)
+        (is_counted && !is_listening).then_some((addresses, bytes))
     }
 }
 
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -1,5 +1,5 @@
 //! A client that nobody controls. It begins requests on several connections at once and finishes none
-//! of them, so that no leaf runs one.
+//! of them but those that no route matches, so that no leaf runs one.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,10 +29,15 @@
 const HEAD: &str =
     "POST /one/x HTTP/1.1\r\nHost: q.example\r\nX-Camphorhold-Request-Id: unfinished\r\n";
 
-/// Returns the beginning of a request.
+/// A request that no route matches, and how often it is sent without waiting for the answer.
+const UNKNOWN: &str =
+    "GET /nowhere/ HTTP/1.1\r\nHost: q.example\r\nX-Camphorhold-Request-Id: unknown\r\n\r\n";
+const MAX_REPEATS: usize = 2_000;
+
+/// Returns the beginning of a request, or requests behind each other.
 fn beginning(random: &mut ChaCha8Rng) -> Vec<u8> {
     let filler = "x".repeat(random.random_range(0..MAX_BYTES));
-    match random.random_range(0..5) {
+    match random.random_range(0..6) {
         0 => format!("{HEAD}Content-Length: {MAX_BYTES}\r\n\r\n{filler}"),
         1 => format!(
             "{HEAD}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{filler}",
@@ -43,6 +48,7 @@
             format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n{chunks}")
         }
         3 => format!("{HEAD}X-Filler: {filler}"),
+        4 => UNKNOWN.repeat(random.random_range(0..MAX_REPEATS)),
         _ => String::new(),
     }
     .into_bytes()
