instance: a long body that is being read does not close its connection

Suspected while the change was read, not seen: when the receive buffers of a port get smaller, a connection is closed that has more unread behind a request in progress. A request counts as in progress from its head on, so a caller whose long body had arrived faster than it was read would have been closed as well, at the moment at which one connection too many is opened.

Change: only a connection with a complete request, to which the instance owes the answer, is closed; what the account knows already. The rest of a body is read soon, and was within the buffer of the larger size.

Evidence: a test of the account says from when to when an answer is owed.

--- a/instance/src/activity.rs
+++ b/instance/src/activity.rs
@@ -130,7 +130,7 @@
     }
 
     /// Makes the receive buffer smaller if it is larger than it may be now. Closes the connection if it
-    /// has received more meanwhile, behind a request in progress.
+    /// has received more meanwhile, behind a complete request: the rest of a body is read soon.
     pub fn shrink_buffer(&self) {
         let bytes = self.client.buffer();
         if bytes >= self.buffer_bytes.get() {
@@ -138,7 +138,7 @@
         }
         self.set_buffer(bytes);
         let is_exceeded = || receive::unread(&*self.stream).is_ok_and(|unread| unread > bytes);
-        if self.busy.get() && is_exceeded() {
+        if self.client.owes_answer() && is_exceeded() {
             self.client.close();
         }
     }
--- a/lib/src/coordination/serving/memory_account.rs
+++ b/lib/src/coordination/serving/memory_account.rs
@@ -386,6 +386,13 @@
         Ok(())
     }
 
+    /// Returns whether the instance has a complete request of a connection and owes the answer.
+    #[must_use]
+    pub fn owes_answer(&self, key: ConnectionKey) -> bool {
+        let connection = self.connections.get(key);
+        connection.is_some_and(|connection| connection.turn == Turn::Instance)
+    }
+
     /// Records that the answer to a request is ready, so that the client has to read it.
     pub fn on_answer(&mut self, key: ConnectionKey, now: Instant) {
         if let Some(connection) = self.connections.get_mut(key) {
--- a/lib/src/transport/client.rs
+++ b/lib/src/transport/client.rs
@@ -165,6 +165,12 @@
         self.account.buffer(self.port)
     }
 
+    /// Returns whether the instance has a complete request and owes the answer.
+    #[must_use]
+    pub fn owes_answer(&self) -> bool {
+        self.account.lock().account.owes_answer(self.key)
+    }
+
     /// Closes the connection, also if the instance has its whole request.
     pub fn close(&self) {
         self.account.lock().account.close(self.key);
--- a/lib/tests/serving_memory_account.rs
+++ b/lib/tests/serving_memory_account.rs
@@ -185,6 +185,23 @@
     assert_eq!(world.hold(third, Share::Bodies, 6_000), REFUSED);
 }
 
+/// Guards against a caller whose long body is still being read and counts as one that has sent more
+/// behind its request.
+#[test]
+fn an_answer_is_owed_from_the_end_of_a_request_until_it_is_ready() {
+    let mut world = World::new();
+    let caller = world.open();
+    assert_eq!(world.hold(caller, Share::Bodies, 40_000), GRANTED);
+    assert!(!world.account.owes_answer(caller));
+    assert_eq!(world.account.on_request(caller), Ok(()));
+    assert!(world.account.owes_answer(caller));
+    world.account.on_answer(caller, world.now);
+    assert!(!world.account.owes_answer(caller));
+    world.account.close(caller);
+    assert_eq!(world.account.port(Port::Callers).closed, 1);
+    assert_eq!(world.account.on_request(caller), Err(Refused));
+}
+
 /// Guards against a request that is started although its connection is being closed: the caller would
 /// learn nothing of its end.
 #[test]
