instance: connections to servers may use what clients leave

What callers would see: with, queries over many shards reach the limit on connections to leafs in calm.

Change: the number that is left beside the most clients is the least that there may be; while clients use fewer connections, those to servers may use the rest, of the same memory and descriptors.

--- a/instance/src/shared.rs
+++ b/instance/src/shared.rs
@@ -229,7 +229,11 @@
             alarms: RefCell::new(Alarms::new(MAX_SUSPECTS)),
             read_budget: ReadBudget::new(read_bytes),
             clients,
-            server_buffers: ServerBuffers::new(receive.server_pool(), receive.servers),
+            server_buffers: ServerBuffers::new(
+                receive.server_pool(),
+                receive.servers,
+                receive.connections,
+            ),
             precedence: RefCell::default(),
             leaf_pool: Pool::default(),
             peer_pool: Pool::default(),
@@ -298,10 +302,11 @@
     ///
     /// Returns an error if all connections are in use.
     pub fn take_server_buffer(&self) -> Result<ServerBuffer, Exhausted> {
-        self.server_buffers.take().or_else(|exhausted| {
+        let clients = self.clients.connections();
+        self.server_buffers.take(clients).or_else(|exhausted| {
             let has_closed = self.leaf_pool.close_oldest() || self.peer_pool.close_oldest();
             if has_closed {
-                self.server_buffers.take()
+                self.server_buffers.take(clients)
             } else {
                 metrics::counter!("camphorhold_connections_refused_total").increment(1);
                 Err(exhausted)
--- a/lib/src/coordination/serving/receive_buffers.rs
+++ b/lib/src/coordination/serving/receive_buffers.rs
@@ -173,8 +173,11 @@
     pub waiting: [usize; 4],
     /// The bytes of connections to servers.
     pub server_bytes: usize,
-    /// The most connections to servers.
+    /// The connections to servers that there may be at any time.
     pub servers: usize,
+    /// The most connections of clients and to servers together. Connections to servers may use what
+    /// clients do not use of that.
+    pub connections: usize,
 }
 
 impl ReceiveLimits {
@@ -205,6 +208,8 @@
             servers: in_memory
                 .min(rest.max(sockets / MIN_SERVERS_DIVISOR))
                 .max(2),
+            connections: (memory / 32 * 9 / CONNECTION_BYTES)
+                .min(sockets.saturating_sub(OWN_SOCKETS)),
         }
     }
 
--- a/lib/src/transport/client.rs
+++ b/lib/src/transport/client.rs
@@ -111,6 +111,14 @@
         self.lock().buffers[port as usize].size()
     }
 
+    /// Returns the number of open connections at all ports.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        let state = self.lock();
+        let used = Port::ALL.map(|port| state.account.port(port).used);
+        used.iter().sum()
+    }
+
     /// Returns how many connections may wait to be accepted at a port.
     #[must_use]
     pub fn waiting(&self, port: Port) -> u32 {
--- a/lib/src/transport/receive.rs
+++ b/lib/src/transport/receive.rs
@@ -66,7 +66,8 @@
     pool: ServerPool,
     open: usize,
     peak: usize,
-    max_open: usize,
+    least: usize,
+    connections: usize,
 }
 
 /// The connections of a process to servers, with their receive buffers. Clones share them.
@@ -76,28 +77,31 @@
 }
 
 impl ServerBuffers {
-    /// Creates the account of at most `max_open` connections, with none open.
+    /// Creates an account with no connection open. There may be `least` of them at any time, and more
+    /// while there are at most `connections` together with those of clients.
     #[must_use]
-    pub fn new(pool: ServerPool, max_open: usize) -> Self {
+    pub fn new(pool: ServerPool, least: usize, connections: usize) -> Self {
         let state = State {
             pool,
             open: 0,
             peak: 0,
-            max_open,
+            least,
+            connections,
         };
         Self {
             state: Rc::new(RefCell::new(state)),
         }
     }
 
-    /// Takes a buffer for a connection.
+    /// Takes a buffer for a connection, while clients have `clients` connections.
     ///
     /// # Errors
     ///
     /// Returns an error if as many connections are open as there may be.
-    pub fn take(&self) -> Result<ServerBuffer, Exhausted> {
+    pub fn take(&self, clients: usize) -> Result<ServerBuffer, Exhausted> {
         let mut state = self.state.borrow_mut();
-        if state.open >= state.max_open {
+        let most = state.connections.saturating_sub(clients).max(state.least);
+        if state.open >= most {
             return Err(Exhausted);
         }
         let bytes = state.pool.take();
